--- /dev/null
+++ b/bench/src/commands.rs
@@ -0,0 +1,29 @@
+//! One file per command.
+
+mod standin;
+mod tour;
+
+use argh::FromArgs;
+use std::process::ExitCode;
+
+/// A command.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Tour(tour::Args),
+    Standin(standin::Args),
+}
+
+impl Command {
+    /// Runs the command.
+    pub(crate) fn run(self) -> anyhow::Result<ExitCode> {
+        match self {
+            Command::Tour(args) => tour::run(args),
+            Command::Standin(args) => standin::run(args),
+        }
+    }
+}
+
+fn runtime() -> anyhow::Result<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread().enable_all().build()?)
+}
--- /dev/null
+++ b/bench/src/commands/standin.rs
@@ -0,0 +1,149 @@
+//! `oriole-bench standin`.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use oriole_bench::history::History;
+use oriole_bench::standin::list::List;
+use oriole_bench::standin::log::Store;
+use oriole_bench::standin::serve::{ListServer, LogServer, WorkerServer};
+use oriole_bench::standin::worker::Worker;
+use oriole_daemon::node::Clock;
+use oriole_daemon::server;
+use oriole_daemon::settings::{Kind, Settings, Spec};
+use oriolewall::platform::Presence;
+use tokio::sync::watch;
+
+/// Run one stand-in of the platform until interrupted.
+///
+/// Example: oriole-bench standin log --config examples/standin.ini
+#[derive(FromArgs)]
+#[argh(subcommand, name = "standin")]
+pub(crate) struct Args {
+    /// which one: log, list or workers
+    #[argh(positional)]
+    what: String,
+    /// settings file
+    #[argh(option)]
+    config: PathBuf,
+}
+
+const SPECS: &[Spec] = &[
+    Spec {
+        section: "log",
+        key: "listen",
+        default: Some("127.0.0.1:7700"),
+        kind: Kind::Addr,
+        help: "address of the log",
+    },
+    Spec {
+        section: "log",
+        key: "kept",
+        default: Some("100000"),
+        kind: Kind::Number(1, 10_000_000),
+        help: "entries kept",
+    },
+    Spec {
+        section: "log",
+        key: "appends_per_second",
+        default: Some("400"),
+        kind: Kind::Number(1, 100_000),
+        help: "most appends a second",
+    },
+    Spec {
+        section: "list",
+        key: "listen",
+        default: Some("127.0.0.1:7701"),
+        kind: Kind::Addr,
+        help: "address of the instance list",
+    },
+    Spec {
+        section: "list",
+        key: "lag_ms",
+        default: Some("1000"),
+        kind: Kind::Number(0, 600_000),
+        help: "lag of the list, milliseconds",
+    },
+    Spec {
+        section: "workers",
+        key: "zone",
+        default: Some("za"),
+        kind: Kind::Name,
+        help: "zone of the workers",
+    },
+    Spec {
+        section: "workers",
+        key: "first",
+        default: Some("127.0.0.1:7710"),
+        kind: Kind::Addr,
+        help: "address of the first worker; the others take the ports after it",
+    },
+    Spec {
+        section: "workers",
+        key: "count",
+        default: Some("4"),
+        kind: Kind::Number(1, 500),
+        help: "number of workers",
+    },
+    Spec {
+        section: "workers",
+        key: "slots",
+        default: Some("8"),
+        kind: Kind::Number(1, 1_000),
+        help: "slots of each worker",
+    },
+];
+
+pub(super) fn run(args: Args) -> anyhow::Result<ExitCode> {
+    let settings = Settings::load(Path::new(&args.config), SPECS)?;
+    super::runtime()?.block_on(serve(&args.what, &settings))
+}
+
+async fn serve(what: &str, settings: &Settings) -> anyhow::Result<ExitCode> {
+    let clock = Clock::new();
+    let (stop, stopped) = watch::channel(false);
+    let mut tasks = tokio::task::JoinSet::new();
+    match what {
+        "log" => {
+            let store = Store::new(
+                settings.number("log", "kept") as usize,
+                settings.number("log", "appends_per_second") as u32,
+            );
+            let listener = server::bind(settings.addr("log", "listen")).await?;
+            tasks.spawn(LogServer::new(store, clock).run(listener, stopped));
+        }
+        "list" => {
+            let list = ListServer::new(List::new(settings.millis("list", "lag_ms")), clock);
+            for id in worker_names(settings) {
+                list.change(&id, Some(Presence::Live));
+            }
+            let listener = server::bind(settings.addr("list", "listen")).await?;
+            tasks.spawn(list.run(listener, stopped));
+        }
+        "workers" => {
+            let mut addr = settings.addr("workers", "first");
+            let zone = settings.text("workers", "zone");
+            for id in worker_names(settings) {
+                let worker = Worker::new(&id, zone, settings.number("workers", "slots") as usize, History::default());
+                let listener = server::bind(addr).await?;
+                tasks.spawn(WorkerServer::new(worker, clock).run(listener, stopped.clone()));
+                println!("worker {id} at {addr}");
+                addr.set_port(addr.port() + 1);
+            }
+        }
+        other => anyhow::bail!("unknown stand-in {other:?}; known: log, list, workers"),
+    }
+    println!("stand-in {what} is up");
+    oriole_daemon::shutdown::requested().await;
+    let _ = stop.send(true);
+    while tasks.join_next().await.is_some() {}
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Names of the workers: zone and number.
+fn worker_names(settings: &Settings) -> Vec<String> {
+    let zone = settings.text("workers", "zone");
+    let count = settings.number("workers", "count");
+    (1..=count).map(|it| format!("{zone}-w{it}")).collect()
+}
--- /dev/null
+++ b/bench/src/standin/list.rs
@@ -0,0 +1,60 @@
+//! The instance list, which tells of changes after a lag.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use oriolewall::id::InstanceId;
+use oriolewall::platform::{Listed, Presence};
+
+/// The true state and what the list shows of it.
+#[derive(Debug)]
+pub struct List {
+    lag: Duration,
+    shown: BTreeMap<InstanceId, Presence>,
+    coming: VecDeque<Change>,
+}
+
+#[derive(Debug)]
+struct Change {
+    at: Duration,
+    id: InstanceId,
+    presence: Option<Presence>,
+}
+
+impl List {
+    /// Shows changes after `lag`.
+    pub fn new(lag: Duration) -> List {
+        List {
+            lag,
+            shown: BTreeMap::new(),
+            coming: VecDeque::new(),
+        }
+    }
+
+    /// Notes a true change; `None` means that the instance is gone.
+    pub fn change(&mut self, now: Duration, id: &str, presence: Option<Presence>) {
+        self.coming.push_back(Change {
+            at: now + self.lag,
+            id: id.into(),
+            presence,
+        });
+    }
+
+    /// What the list shows.
+    pub fn read(&mut self, now: Duration) -> Vec<Listed> {
+        while self.coming.front().is_some_and(|it| it.at <= now) {
+            let Some(change) = self.coming.pop_front() else {
+                break;
+            };
+            match change.presence {
+                Some(presence) => self.shown.insert(change.id, presence),
+                None => self.shown.remove(&change.id),
+            };
+        }
+        let listed = |(id, presence): (&InstanceId, &Presence)| Listed {
+            id: id.clone(),
+            presence: *presence,
+        };
+        self.shown.iter().map(listed).collect()
+    }
+}
--- /dev/null
+++ b/daemon/src/keeper.rs
@@ -0,0 +1,1 @@
+//! Runs the maintenance process.
--- /dev/null
+++ b/daemon/src/metrics.rs
@@ -0,0 +1,79 @@
+//! Prometheus metrics of an entry instance.
+
+use std::time::Duration;
+
+use oriolewall::entry::Counters;
+use prometheus::{Encoder, IntGauge, Registry, TextEncoder};
+
+/// Gauges that follow the state machine's counters.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    pub(crate) offset: IntGauge,
+    accepted: IntGauge,
+    started: IntGauge,
+    done: IntGauge,
+    not_run: IntGauge,
+    unknown: IntGauge,
+    stray: IntGauge,
+    appends: IntGauge,
+    queued: IntGauge,
+    running: IntGauge,
+    age_ms: IntGauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics in a registry of their own.
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("metric names are valid");
+            registry.register(Box::new(gauge.clone())).expect("metric names differ");
+            gauge
+        };
+        Metrics {
+            offset: gauge("oriole_offset", "Next offset of the replica"),
+            accepted: gauge("oriole_jobs_accepted", "Jobs accepted since start"),
+            started: gauge("oriole_tasks_started", "Tasks handed to workers since start"),
+            done: gauge("oriole_jobs_done", "Jobs done since start"),
+            not_run: gauge("oriole_jobs_not_run", "Jobs not run since start"),
+            unknown: gauge("oriole_jobs_unknown", "Jobs of unknown fate since start"),
+            stray: gauge("oriole_answers_stray", "Late, crossed or cut answers dropped since start"),
+            appends: gauge("oriole_log_appends", "Appends to the log since start"),
+            queued: gauge("oriole_jobs_queued", "Jobs queued"),
+            running: gauge("oriole_tasks_running", "Tasks running"),
+            age_ms: gauge("oriole_view_age_milliseconds", "Age of what was seen of the log; -1 if never"),
+            registry,
+        }
+    }
+
+    /// Takes the latest counts in.
+    pub fn update(&self, counters: Counters, queued: usize, running: usize, age: Option<Duration>) {
+        self.accepted.set(counters.accepted as i64);
+        self.started.set(counters.started as i64);
+        self.done.set(counters.done as i64);
+        self.not_run.set(counters.not_run as i64);
+        self.unknown.set(counters.unknown as i64);
+        self.stray.set(counters.stray_answers as i64);
+        self.appends.set(counters.appends as i64);
+        self.queued.set(queued as i64);
+        self.running.set(running as i64);
+        self.age_ms.set(age.map_or(-1, |it| it.as_millis() as i64));
+    }
+
+    /// Renders the text format.
+    pub fn render(&self) -> String {
+        let mut buffer = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        if encoded.is_err() {
+            return String::new();
+        }
+        String::from_utf8(buffer).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/daemon/src/platform.rs
@@ -0,0 +1,103 @@
+//! Adapters for the platform's log, instance list and workers over HTTP.
+//!
+//! Log and workers speak MessagePack, the instance list JSON.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oriolewall::id::Offset;
+use oriolewall::platform::{self, Error, Listed, Read, Request, Response};
+
+use crate::client::{Call, Client};
+
+/// Time for a read beyond its own wait.
+const READ_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time for an append.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time for the instance list.
+const LIST_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for a worker call beyond its own wait.
+const WORKER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The log service.
+#[derive(Clone, Debug)]
+pub struct Log {
+    client: Client,
+    addr: SocketAddr,
+}
+
+/// The instance list.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    client: Client,
+    addr: SocketAddr,
+}
+
+/// The workers.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    client: Client,
+}
+
+impl Log {
+    /// The service at an address.
+    pub fn new(client: Client, addr: SocketAddr) -> Log {
+        Log { client, addr }
+    }
+}
+
+impl platform::Log for Log {
+    async fn read(&self, from: Offset, wait: Duration) -> Result<Read, Error> {
+        let path = format!("/log?from={from}&wait_ms={}", wait.as_millis());
+        let response = self.client.call(Call::get(self.addr, path, wait + READ_TIMEOUT)).await?;
+        decode(&response.body)
+    }
+
+    async fn append(&self, entry: Bytes) -> Result<Offset, Error> {
+        let response = self.client.call(Call::post(self.addr, "/log", entry, APPEND_TIMEOUT)).await?;
+        decode(&response.body)
+    }
+}
+
+impl Directory {
+    /// The list at an address.
+    pub fn new(client: Client, addr: SocketAddr) -> Directory {
+        Directory { client, addr }
+    }
+}
+
+impl platform::Directory for Directory {
+    async fn list(&self) -> Result<Vec<Listed>, Error> {
+        let response = self.client.call(Call::get(self.addr, "/instances", LIST_TIMEOUT)).await?;
+        serde_json::from_slice(&response.body).map_err(|_| Error::Lost)
+    }
+}
+
+impl Worker {
+    /// Calls workers through a client.
+    pub fn new(client: Client) -> Worker {
+        Worker { client }
+    }
+}
+
+impl platform::Worker for Worker {
+    async fn call(&self, addr: SocketAddr, request: Request) -> Result<Response, Error> {
+        let wait = match &request {
+            Request::Wait { wait_ms, .. } => Duration::from_millis(*wait_ms),
+            _ => Duration::ZERO,
+        };
+        let body = rmp_serde::to_vec(&request).map_err(|_| Error::Undelivered)?;
+        let call = Call::post(addr, "/tasks", Bytes::from(body), wait + WORKER_TIMEOUT);
+        let response = self.client.call(call).await?;
+        decode(&response.body)
+    }
+}
+
+/// A body that cannot be read counts as a lost answer.
+fn decode<T>(body: &[u8]) -> Result<T, Error>
+where
+    T: serde::de::DeserializeOwned,
+{
+    rmp_serde::from_slice(body).map_err(|_| Error::Lost)
+}
--- /dev/null
+++ b/daemon/src/settings.rs
@@ -0,0 +1,393 @@
+//! Settings files in INI, checked before anything starts.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use ini::Ini;
+use thiserror::Error;
+
+use crate::logging::Sink;
+
+/// One setting of a program.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec {
+    /// Section of the file.
+    pub section: &'static str,
+    /// Key within the section.
+    pub key: &'static str,
+    /// Value if the file has none; `None` makes the key required.
+    pub default: Option<&'static str>,
+    /// Accepted values.
+    pub kind: Kind,
+    /// What it governs, with its unit.
+    pub help: &'static str,
+}
+
+/// Accepted values of a setting.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// A name of letters, digits, `-`, `_` and `.`.
+    Name,
+    /// Any text.
+    Text,
+    /// IP address and port.
+    Addr,
+    /// IP addresses and ports, separated by commas; may be empty.
+    Addrs,
+    /// A whole number within inclusive bounds.
+    Number(u64, u64),
+    /// One of a few words.
+    Choice(&'static [&'static str]),
+}
+
+/// Why a settings file was refused.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The file could not be read or parsed.
+    #[error("{file}: {message}")]
+    File {
+        /// The file.
+        file: String,
+        /// What is wrong.
+        message: String,
+    },
+    /// The file has a key that the program does not know.
+    #[error("{file}: [{section}] {key}: unknown setting; known here: {known}")]
+    Unknown {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// Known keys of the section.
+        known: String,
+    },
+    /// A required key is absent.
+    #[error("{file}: [{section}] {key}: required, must be {allowed}")]
+    Missing {
+        /// The file.
+        file: String,
+        /// The section.
+        section: &'static str,
+        /// The key.
+        key: &'static str,
+        /// What is accepted.
+        allowed: String,
+    },
+    /// A value is not accepted.
+    #[error("{file}: [{section}] {key} = {value:?}: must be {allowed}")]
+    Value {
+        /// The file.
+        file: String,
+        /// The section.
+        section: &'static str,
+        /// The key.
+        key: &'static str,
+        /// The value.
+        value: String,
+        /// What is accepted.
+        allowed: String,
+    },
+}
+
+/// A checked settings file.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    file: String,
+    ini: Ini,
+    specs: &'static [Spec],
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path, specs: &'static [Spec]) -> Result<Settings, Error> {
+        let file = path.display().to_string();
+        let ini = Ini::load_from_file(path).map_err(|err| Error::File {
+            file: file.clone(),
+            message: err.to_string(),
+        })?;
+        Settings::check(file, ini, specs)
+    }
+
+    /// Checks the text of a file.
+    pub fn parse(file: &str, text: &str, specs: &'static [Spec]) -> Result<Settings, Error> {
+        let file = file.to_owned();
+        let ini = Ini::load_from_str(text).map_err(|err| Error::File {
+            file: file.clone(),
+            message: err.to_string(),
+        })?;
+        Settings::check(file, ini, specs)
+    }
+
+    fn check(file: String, ini: Ini, specs: &'static [Spec]) -> Result<Settings, Error> {
+        let settings = Settings { file, ini, specs };
+        for (section, properties) in settings.ini.iter() {
+            for (key, _) in properties.iter() {
+                settings.check_known(section.unwrap_or(""), key)?;
+            }
+        }
+        for spec in specs {
+            settings.check_value(spec)?;
+        }
+        Ok(settings)
+    }
+
+    fn check_known(&self, section: &str, key: &str) -> Result<(), Error> {
+        if self.specs.iter().any(|it| it.section == section && it.key == key) {
+            return Ok(());
+        }
+        let known: Vec<&str> = self.specs.iter().filter(|it| it.section == section).map(|it| it.key).collect();
+        Err(Error::Unknown {
+            file: self.file.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            known: known.join(", "),
+        })
+    }
+
+    fn check_value(&self, spec: &'static Spec) -> Result<(), Error> {
+        let (section, key, allowed) = (spec.section, spec.key, spec.kind.describe());
+        let Some(value) = self.raw(spec) else {
+            return Err(Error::Missing {
+                file: self.file.clone(),
+                section,
+                key,
+                allowed,
+            });
+        };
+        if spec.kind.accepts(value) {
+            return Ok(());
+        }
+        Err(Error::Value {
+            file: self.file.clone(),
+            section,
+            key,
+            value: value.to_owned(),
+            allowed,
+        })
+    }
+
+    fn raw(&self, spec: &Spec) -> Option<&str> {
+        self.ini.get_from(Some(spec.section), spec.key).or(spec.default)
+    }
+
+    /// The value in force, as text.
+    pub fn text(&self, section: &str, key: &str) -> &str {
+        let spec = self.specs.iter().find(|it| it.section == section && it.key == key);
+        spec.and_then(|it| self.raw(it)).unwrap_or_default()
+    }
+
+    /// The value in force, as a number.
+    pub fn number(&self, section: &str, key: &str) -> u64 {
+        self.text(section, key).parse().unwrap_or_default()
+    }
+
+    /// The value in force, as a time given in milliseconds.
+    pub fn millis(&self, section: &str, key: &str) -> Duration {
+        Duration::from_millis(self.number(section, key))
+    }
+
+    /// The value in force, as an address.
+    pub fn addr(&self, section: &str, key: &str) -> SocketAddr {
+        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+        self.text(section, key).parse().unwrap_or(unset)
+    }
+
+    /// Where log lines go.
+    pub fn log_sink(&self) -> Sink {
+        match self.text("logging", "file") {
+            "" => Sink::Stderr,
+            path => Sink::File(path.into()),
+        }
+    }
+
+    /// Least level that is logged.
+    pub fn log_level(&self) -> log::LevelFilter {
+        self.text("logging", "level").parse().unwrap_or(log::LevelFilter::Info)
+    }
+
+    /// The value in force, as addresses.
+    pub fn addrs(&self, section: &str, key: &str) -> Vec<SocketAddr> {
+        let parts = self.text(section, key).split(',');
+        parts.filter_map(|it| it.trim().parse().ok()).collect()
+    }
+}
+
+impl Kind {
+    fn accepts(&self, value: &str) -> bool {
+        match self {
+            Kind::Name => oriolewall::setting::is_name(value),
+            Kind::Text => true,
+            Kind::Addr => value.parse::<SocketAddr>().is_ok(),
+            Kind::Addrs => value.is_empty() || value.split(',').all(|it| it.trim().parse::<SocketAddr>().is_ok()),
+            Kind::Number(min, max) => value.parse().is_ok_and(|it: u64| *min <= it && it <= *max),
+            Kind::Choice(words) => words.contains(&value),
+        }
+    }
+
+    /// Describes the accepted values.
+    pub fn describe(&self) -> String {
+        match self {
+            Kind::Name => "a name of letters, digits, '-', '_' and '.'".to_owned(),
+            Kind::Text => "any text".to_owned(),
+            Kind::Addr => "an IP address and port, such as 127.0.0.1:7001".to_owned(),
+            Kind::Addrs => "IP addresses and ports separated by commas".to_owned(),
+            Kind::Number(min, max) => format!("a whole number from {min} to {max}"),
+            Kind::Choice(words) => format!("one of {}", words.join(", ")),
+        }
+    }
+}
+
+const LEVELS: &[&str] = &["error", "warn", "info", "debug"];
+
+const PLATFORM_LOG: Spec = Spec {
+    section: "platform",
+    key: "log",
+    default: None,
+    kind: Kind::Addr,
+    help: "address of the platform's append-only log",
+};
+const PLATFORM_LIST: Spec = Spec {
+    section: "platform",
+    key: "list",
+    default: None,
+    kind: Kind::Addr,
+    help: "address of the platform's instance list",
+};
+const LOG_LEVEL: Spec = Spec {
+    section: "logging",
+    key: "level",
+    default: Some("info"),
+    kind: Kind::Choice(LEVELS),
+    help: "least level that is logged",
+};
+const LOG_FILE: Spec = Spec {
+    section: "logging",
+    key: "file",
+    default: Some(""),
+    kind: Kind::Text,
+    help: "file for log lines; empty for standard error",
+};
+
+/// Settings of `oriole-entry`.
+pub const ENTRY: &[Spec] = &[
+    Spec {
+        section: "entry",
+        key: "name",
+        default: None,
+        kind: Kind::Name,
+        help: "name of this instance",
+    },
+    Spec {
+        section: "entry",
+        key: "zone",
+        default: None,
+        kind: Kind::Name,
+        help: "availability zone of this instance",
+    },
+    Spec {
+        section: "entry",
+        key: "listen",
+        default: None,
+        kind: Kind::Addr,
+        help: "address for callers, operators and other entries",
+    },
+    Spec {
+        section: "entry",
+        key: "peers",
+        default: Some(""),
+        kind: Kind::Addrs,
+        help: "other entries to start from when the log is down",
+    },
+    PLATFORM_LOG,
+    PLATFORM_LIST,
+    Spec {
+        section: "bounds",
+        key: "fresh_ms",
+        default: Some("2000"),
+        kind: Kind::Number(500, 2_500),
+        help: "age of knowledge up to which work starts, milliseconds",
+    },
+    Spec {
+        section: "bounds",
+        key: "clock_ms",
+        default: Some("250"),
+        kind: Kind::Number(1, 450),
+        help: "largest difference between two clocks, milliseconds",
+    },
+    Spec {
+        section: "bounds",
+        key: "lease_ms",
+        default: Some("6000"),
+        kind: Kind::Number(2_000, 600_000),
+        help: "length of task leases, milliseconds",
+    },
+    Spec {
+        section: "bounds",
+        key: "peer_dead_ms",
+        default: Some("2500"),
+        kind: Kind::Number(500, 60_000),
+        help: "silence after which a peer of the zone is fenced, milliseconds",
+    },
+    Spec {
+        section: "bounds",
+        key: "id_age_ms",
+        default: Some("900000"),
+        kind: Kind::Number(10_000, 86_400_000),
+        help: "time for which job ids are remembered, milliseconds",
+    },
+    Spec {
+        section: "bounds",
+        key: "stop_grace_ms",
+        default: Some("10000"),
+        kind: Kind::Number(100, 600_000),
+        help: "time for which a stopping entry waits for its callers' answers, milliseconds",
+    },
+    Spec {
+        section: "limits",
+        key: "body_bytes",
+        default: Some("1048576"),
+        kind: Kind::Number(1_024, 67_108_864),
+        help: "largest request body, bytes",
+    },
+    Spec {
+        section: "limits",
+        key: "connections",
+        default: Some("4096"),
+        kind: Kind::Number(16, 65_536),
+        help: "most connections at once",
+    },
+    LOG_LEVEL,
+    LOG_FILE,
+];
+
+/// Settings of `oriole-maintain`.
+pub const MAINTAIN: &[Spec] = &[
+    Spec {
+        section: "maintain",
+        key: "name",
+        default: None,
+        kind: Kind::Name,
+        help: "name of this instance",
+    },
+    Spec {
+        section: "maintain",
+        key: "zone",
+        default: None,
+        kind: Kind::Name,
+        help: "availability zone of this instance",
+    },
+    Spec {
+        section: "maintain",
+        key: "listen",
+        default: None,
+        kind: Kind::Addr,
+        help: "address for metrics, health and events",
+    },
+    PLATFORM_LOG,
+    PLATFORM_LIST,
+    LOG_LEVEL,
+    LOG_FILE,
+];
--- /dev/null
+++ b/entry/src/main.rs
@@ -0,0 +1,37 @@
+//! `oriole-entry`: decides whose job starts where in its zone.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use oriole_daemon::node::{self, Node};
+use oriole_daemon::settings::{self, Settings};
+use oriole_daemon::{logging, server, shutdown};
+use tokio::sync::watch;
+
+/// Run one entry instance until SIGTERM, which hands its work over and cuts no request.
+///
+/// Example: oriole-entry --config examples/entry-za.ini
+#[derive(FromArgs)]
+struct Args {
+    /// settings file
+    #[argh(option)]
+    config: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let args: Args = argh::from_env();
+    let settings = Settings::load(&args.config, settings::ENTRY)?;
+    logging::start(&settings.log_sink(), settings.log_level())?;
+    let node = Node::from_settings(&settings);
+    let listener = server::bind(settings.addr("entry", "listen")).await?;
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(async move {
+        shutdown::requested().await;
+        let _ = stop.send(true);
+        // Keeps the channel open until the process ends.
+        std::future::pending::<()>().await;
+    });
+    node::run(node, listener, stopped).await;
+    Ok(())
+}
--- /dev/null
+++ b/lib/src/dispatch.rs
@@ -0,0 +1,536 @@
+//! Starting tasks on workers of the entry's own zone, and minding them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::clock::Now;
+use crate::entry::{Call, CallId, Entry, Held, Life, Order, Phase, Running};
+use crate::event::Kind;
+use crate::fleet::{Health, Instance};
+use crate::id::{InstanceId, JobId, TeamId};
+use crate::job::{Class, Done, Doubt, Outcome, Repeat};
+use crate::platform::{Answer, Error, Presence, Refused, Request, Response, Start, Task};
+use crate::setting;
+use crate::share::{self, Ratio};
+use crate::wire::Hold;
+
+/// Longest wait for a task's answer in one call.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Pause before a failed wait is repeated.
+const WAIT_AGAIN: Duration = Duration::from_millis(200);
+/// Pause before a full worker is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+/// First pause after a worker could not be reached.
+const AWAY_FIRST: Duration = Duration::from_millis(500);
+/// Longest pause after a worker could not be reached.
+const AWAY_LAST: Duration = Duration::from_secs(10);
+/// Age of gossip up to which silence of the log counts as agreed.
+const AGREEMENT_AGE: Duration = Duration::from_millis(1_000);
+/// Time for which reads must fail before the log counts as down.
+const OUTAGE_AFTER: Duration = Duration::from_millis(1_000);
+
+impl Entry {
+    /// Monotonic instant up to which everything that operators decided is
+    /// known; `None` if that is too long ago to start anything.
+    pub(crate) fn gate(&self, now: Now) -> Option<Duration> {
+        let seen = self.journal.replica().fresh().max(self.agreed_outage(now));
+        seen.filter(|it| now.mono < *it + self.cfg.fresh_bound)
+    }
+
+    /// While nobody can read the log nothing new is accepted: the instant up
+    /// to which every other zone has said so, with no peer ahead of us.
+    fn agreed_outage(&self, now: Now) -> Option<Duration> {
+        let state = self.journal.state();
+        let failing = self.journal.failing_since()?;
+        if now.mono < failing + OUTAGE_AFTER || state.tree.get("", setting::LOG_OUTAGE) != "continue" {
+            return None;
+        }
+        // What was never fresh has nothing to go on with.
+        self.journal.replica().fresh()?;
+        let mut zones: BTreeMap<&str, Duration> = BTreeMap::new();
+        for (id, member) in state.roster.active().filter(|(id, _)| **id != self.cfg.id) {
+            let Some(peer) = self.peers.get(id).filter(|it| now.mono < it.heard + AGREEMENT_AGE) else {
+                continue;
+            };
+            let agrees = peer.gossip.log_down_ms.is_some() && peer.gossip.next <= state.next();
+            if !agrees {
+                return None;
+            }
+            let heard = zones.entry(&member.zone).or_default();
+            *heard = peer.heard.max(*heard);
+        }
+        let others = state.roster.active().map(|(_, it)| &*it.zone).filter(|it| *it != &*self.cfg.zone);
+        let others: BTreeSet<&str> = others.collect();
+        let oldest = others.into_iter().map(|it| zones.get(it).copied());
+        oldest.collect::<Option<Vec<_>>>()?.into_iter().min().or(Some(now.mono))
+    }
+
+    /// Whether this entry can start work in its own zone now.
+    pub(crate) fn is_open(&self, now: Now) -> bool {
+        let zone = &self.cfg.zone;
+        let state = self.journal.state();
+        self.life == Life::Active
+            && self.gate(now).is_some()
+            && !self.holds.contains_key(&Hold::Zone(zone.clone()))
+            && state.tree.get(&crate::state::zone_path(zone), setting::STATE) == "in"
+    }
+
+    /// Starts as many queued jobs as rules and slots allow.
+    pub(crate) fn place(&mut self, now: Now) {
+        if !self.is_open(now) {
+            return;
+        }
+        for class in [Class::Urgent, Class::Normal] {
+            let mut skip = BTreeSet::new();
+            while let Some(team) = self.next_team(now, class, &skip) {
+                if !self.start_next(now, &team, class) {
+                    skip.insert(team);
+                }
+            }
+        }
+    }
+
+    /// The team whose job of this class starts next.
+    fn next_team(&self, now: Now, class: Class, skip: &BTreeSet<TeamId>) -> Option<TeamId> {
+        let may = |team: &&TeamId| !skip.contains(*team) && 0 < self.spare(team);
+        let teams = self.queues.waiting(class).filter(may);
+        match self.cfg.policy.order {
+            Order::Share => {
+                let rated = teams.map(|team| (team, self.ratio(now, team)));
+                share::pick(rated).cloned()
+            }
+            Order::FirstCome => {
+                let since = |team: &&TeamId| self.queues.first(team, class).and_then(|it| Some(self.jobs.get(&it)?.accepted));
+                teams.min_by_key(since).cloned()
+            }
+        }
+    }
+
+    /// Fleet-wide use of a team per weight.
+    fn ratio(&self, now: Now, team: &TeamId) -> Ratio {
+        const GOSSIP_AGE: Duration = Duration::from_secs(2);
+        let near = self.peers.values().filter(|it| now.mono < it.heard + GOSSIP_AGE);
+        let elsewhere: u64 = near
+            .filter_map(|it| it.gossip.teams.get(team))
+            .map(|it| u64::from(it.running))
+            .sum();
+        let weight = self.journal.state().tree.number(team, setting::WEIGHT).max(1);
+        Ratio {
+            used: elsewhere + self.in_use(team),
+            weight,
+        }
+    }
+
+    /// Starts the team's next job; false if no worker can take it.
+    fn start_next(&mut self, now: Now, team: &TeamId, class: Class) -> bool {
+        let Some(id) = self.queues.first(team, class) else {
+            return false;
+        };
+        let Some(held) = self.jobs.get(&id) else {
+            self.queues.pop(team, class);
+            return true;
+        };
+        if self.holds.contains_key(&Hold::Key(held.job.key.clone())) {
+            return false;
+        }
+        let Some((instance, why)) = self.choose(now, held) else {
+            return false;
+        };
+        self.queues.pop(team, class);
+        self.start(now, id, instance, why);
+        true
+    }
+
+    /// Picks a worker: the first pool of the team's list with room, then the
+    /// worker with most free slots.
+    fn choose(&self, now: Now, held: &Held) -> Option<(InstanceId, String)> {
+        let state = self.journal.state();
+        let pools = state.tree.get(&held.job.team, setting::POOLS);
+        for pool in pools.split(',') {
+            if !state.takes_work(&self.cfg.zone, pool) {
+                continue;
+            }
+            let path = crate::state::zone_pool_path(&self.cfg.zone, pool);
+            let reserve = match held.job.class {
+                Class::Urgent => 0,
+                Class::Normal => state.tree.number(&path, setting::URGENT_RESERVE) as u32,
+            };
+            let here = state
+                .fleet
+                .iter()
+                .filter(|(id, it)| &*it.pool == pool && self.is_eligible(now, id, it, held));
+            let room = here.map(|(id, it)| (self.free(id, it).saturating_sub(reserve), id));
+            let best = room.filter(|(free, _)| 0 < *free).max_by_key(|(free, id)| (*free, self.spread(id)));
+            if let Some((free, id)) = best {
+                return Some((id.clone(), format!("pool {pool} of {pools}, {free} slots free")));
+            }
+        }
+        None
+    }
+
+    fn is_eligible(&self, now: Now, id: &InstanceId, instance: &Instance, held: &Held) -> bool {
+        let listed = self.presence.as_ref().map(|it| it.get(id));
+        let leaving = matches!(listed, Some(None | Some(Presence::Leaving)));
+        let away = self.workers.get(id).is_some_and(|it| now.mono < it.full_until.max(it.away_until));
+        let tried = held.failed_on.iter().any(|(worker, rack)| worker == id || *rack == instance.rack);
+        instance.zone == self.cfg.zone
+            && instance.health == Health::Up
+            && instance.permit.is_none()
+            && !leaving
+            && !away
+            && !tried
+            && self.ward.admits(now.mono, id)
+    }
+
+    /// Free slots of a worker as far as this entry and its zone's peers know.
+    fn free(&self, id: &InstanceId, instance: &Instance) -> u32 {
+        let mine = self.workers.get(id).map_or(0, |it| it.mine);
+        let theirs: u32 = self.peers.values().filter_map(|it| it.gossip.workers.get(id)).sum();
+        instance.slots.saturating_sub(mine + theirs)
+    }
+
+    /// Orders workers differently at each entry, so that entries rarely collide.
+    fn spread(&self, id: &str) -> u64 {
+        use std::hash::{DefaultHasher, Hash, Hasher};
+        let mut hasher = DefaultHasher::new();
+        (id, &self.cfg.id).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn start(&mut self, now: Now, id: JobId, instance: InstanceId, why: String) {
+        let Some(seen) = self.gate(now) else {
+            return;
+        };
+        let state = self.journal.state();
+        let (Some(worker), Some(held)) = (state.fleet.get(&instance), self.jobs.get_mut(&id)) else {
+            return;
+        };
+        held.attempts += 1;
+        let task = Task {
+            job: id,
+            attempt: held.attempts,
+        };
+        held.phase = Phase::Running(task);
+        let start_by = seen + self.cfg.fresh_bound;
+        let start = Start {
+            task,
+            holder: self.cfg.id.clone(),
+            team: held.job.team.clone(),
+            once: held.job.repeat == Repeat::Forbidden,
+            epoch: worker.epoch,
+            start_by_ms: now.wall_ms_at(start_by.saturating_sub(self.cfg.clock_bound)),
+            lease_ms: self.cfg.lease.as_millis() as u64,
+            expected_ms: held.job.expected.as_millis() as u64,
+            payload: held.job.payload.clone(),
+        };
+        let running = Running {
+            team: held.job.team.clone(),
+            instance: instance.clone(),
+            addr: worker.addr,
+            start_by,
+            certain: false,
+            lease_end: start_by + self.cfg.lease + self.cfg.clock_bound,
+            renew_at: now.mono + self.cfg.lease / 3,
+            wait_at: None,
+            ghost: false,
+        };
+        let event = Kind::Started {
+            job: id,
+            team: held.job.team.clone(),
+            instance: instance.clone(),
+            pool: worker.pool.clone(),
+            why,
+        };
+        let addr = worker.addr;
+        self.counters.started += 1;
+        self.events.push(now, event);
+        self.escrow.count(&running.team, 1);
+        self.tasks.insert(task, running);
+        self.workers.entry(instance.clone()).or_default().mine += 1;
+        self.ward.placed(&instance);
+        self.call(Call::Start(task), instance, addr, Request::Start(start));
+    }
+
+    pub(crate) fn on_called(&mut self, now: Now, id: CallId, sent: Duration, result: Result<Response, Error>) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        match call {
+            Call::Start(task) => self.on_started(now, task, result),
+            Call::Wait(task) => self.on_waited(now, task, result),
+            Call::Renew(task) => self.on_renewed(now, task, sent, result),
+            Call::Stop => {}
+            Call::List(instance) => self.on_tasks(now, instance, result),
+            Call::Adopt(task, instance) => self.on_adopted(now, task, instance, result),
+        }
+    }
+
+    fn on_started(&mut self, now: Now, task: Task, result: Result<Response, Error>) {
+        let Some(running) = self.tasks.get_mut(&task) else {
+            return;
+        };
+        let instance = running.instance.clone();
+        match result {
+            Ok(Response::Started | Response::Refused(Refused::Known)) => {
+                running.certain = true;
+                self.workers.entry(instance).or_default().away_for = Duration::ZERO;
+                self.wait(task);
+            }
+            Ok(Response::Refused(reason)) => {
+                self.counters.refused += 1;
+                self.avoid(now, &instance, reason);
+                self.undo_start(now, task);
+            }
+            Err(Error::Undelivered | Error::Unavailable) => {
+                self.mark_away(now, &instance);
+                self.undo_start(now, task);
+            }
+            // The start may have taken place: the wait finds out.
+            Ok(_) | Err(Error::Lost) => {
+                self.mark_away(now, &instance);
+                self.wait(task);
+            }
+        }
+    }
+
+    fn avoid(&mut self, now: Now, instance: &InstanceId, reason: Refused) {
+        let worker = self.workers.entry(instance.clone()).or_default();
+        match reason {
+            Refused::Full => worker.full_until = now.mono + FULL_PAUSE,
+            Refused::Leaving => worker.away_until = now.mono + AWAY_LAST,
+            Refused::Late | Refused::Known => {}
+        }
+    }
+
+    fn mark_away(&mut self, now: Now, instance: &InstanceId) {
+        let worker = self.workers.entry(instance.clone()).or_default();
+        worker.away_for = (worker.away_for * 2).clamp(AWAY_FIRST, AWAY_LAST);
+        worker.away_until = now.mono + worker.away_for;
+    }
+
+    /// The task was certainly not started: its job goes back to its place.
+    fn undo_start(&mut self, now: Now, task: Task) {
+        let ghost = self.remove_task(task);
+        if !ghost {
+            self.requeue(now, task.job);
+        }
+    }
+
+    pub(crate) fn requeue(&mut self, now: Now, id: JobId) {
+        let Some(held) = self.jobs.get_mut(&id).filter(|it| !it.phase.is_over()) else {
+            return;
+        };
+        held.phase = Phase::Queued;
+        self.queues.push_front(&held.job.team, held.job.class, id);
+        let key = held.job.key.clone();
+        if let Err(crate::key::Error::Withdrawn { offset, .. }) = self.journal.state().keys.alive(&key) {
+            let reason = crate::job::Reason::KeyWithdrawn { offset };
+            self.finish(now, id, Outcome::NotRun(reason));
+        }
+    }
+
+    /// Takes a task off the books; returns whether its job had gone on without it.
+    fn remove_task(&mut self, task: Task) -> bool {
+        let Some(running) = self.tasks.remove(&task) else {
+            return true;
+        };
+        self.escrow.uncount(&running.team, 1);
+        self.ward.released(&running.instance);
+        if let Some(worker) = self.workers.get_mut(&running.instance) {
+            worker.mine = worker.mine.saturating_sub(1);
+        }
+        running.ghost
+    }
+
+    pub(crate) fn wait(&mut self, task: Task) {
+        let Some(running) = self.tasks.get_mut(&task) else {
+            return;
+        };
+        running.wait_at = None;
+        let (instance, addr) = (running.instance.clone(), running.addr);
+        let wait_ms = WAIT.as_millis() as u64;
+        self.call(Call::Wait(task), instance, addr, Request::Wait { task, wait_ms });
+    }
+
+    fn on_waited(&mut self, now: Now, task: Task, result: Result<Response, Error>) {
+        let Some(running) = self.tasks.get_mut(&task) else {
+            return;
+        };
+        match result {
+            Ok(Response::Answer(answer)) => self.on_answer(now, task, answer),
+            Ok(Response::Pending) => {
+                running.certain = true;
+                self.wait(task);
+            }
+            Ok(Response::Unknown) if !running.certain && now.mono < running.start_by + self.cfg.clock_bound => {
+                running.wait_at = Some(now.mono + WAIT_AGAIN);
+            }
+            Ok(Response::Unknown) => self.on_vanished(now, task),
+            _ => running.wait_at = Some(now.mono + WAIT_AGAIN),
+        }
+    }
+
+    fn on_answer(&mut self, now: Now, task: Task, answer: Answer) {
+        let whole = answer.task == task && answer.length == answer.body.len() as u64;
+        if !whole {
+            self.counters.stray_answers += 1;
+            if let Some(running) = self.tasks.get_mut(&task) {
+                running.wait_at = Some(now.mono + WAIT_AGAIN);
+            }
+            return;
+        }
+        let Some(instance) = self.tasks.get(&task).map(|it| it.instance.clone()) else {
+            return;
+        };
+        self.remove_task(task);
+        if answer.success {
+            self.ward.succeeded(&instance);
+            let done = Done {
+                success: true,
+                body: answer.body,
+            };
+            self.finish(now, task.job, Outcome::Done(done));
+            return;
+        }
+        self.on_failure(now, task, instance, answer);
+    }
+
+    /// A failed try is repeated on another rack, if it may be and was not often enough.
+    fn on_failure(&mut self, now: Now, task: Task, instance: InstanceId, answer: Answer) {
+        let suspects = self.suspects();
+        self.ward.failed(now.mono, &instance, task.job, &suspects);
+        let state = self.journal.state();
+        let rack = state.fleet.get(&instance).map(|it| it.rack.clone()).unwrap_or_default();
+        let Some(held) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        held.failed_on.push((instance, rack));
+        held.maybe_ran = true;
+        let tries = state.tree.number(&held.job.team, setting::MAX_ATTEMPTS);
+        let again = !held.is_once() && (held.failed_on.len() as u64) < tries && !held.job.payload.is_empty();
+        if again && self.has_untried(now, task.job) {
+            self.requeue(now, task.job);
+            return;
+        }
+        if 1 < tries {
+            self.ward.acquit(task.job);
+        }
+        let done = Done {
+            success: false,
+            body: answer.body,
+        };
+        self.finish(now, task.job, Outcome::Done(done));
+    }
+
+    /// Jobs that have failed on more than one worker.
+    fn suspects(&self) -> BTreeSet<JobId> {
+        let failing = self.jobs.iter().filter(|(_, it)| !it.failed_on.is_empty());
+        failing.map(|(id, _)| *id).collect()
+    }
+
+    /// Whether some worker could still take a job that failed elsewhere.
+    fn has_untried(&self, now: Now, id: JobId) -> bool {
+        let Some(held) = self.jobs.get(&id) else {
+            return false;
+        };
+        let state = self.journal.state();
+        let pools: SmallVec<[&str; 4]> = state.tree.get(&held.job.team, setting::POOLS).split(',').collect();
+        let mut fleet = state.fleet.iter();
+        fleet.any(|(id, it)| pools.contains(&&*it.pool) && self.is_eligible(now, id, it, held))
+    }
+
+    /// The worker does not know the task any more.
+    fn on_vanished(&mut self, now: Now, task: Task) {
+        let certain = self.tasks.get(&task).is_some_and(|it| it.certain);
+        let ghost = self.remove_task(task);
+        if ghost {
+            return;
+        }
+        let doubt = if certain { Doubt::WorkerLost } else { Doubt::AnswerLost };
+        self.give_up_try(now, task.job, doubt);
+    }
+
+    /// A try is lost: repeats the job if it may be, else says so.
+    fn give_up_try(&mut self, now: Now, id: JobId, doubt: Doubt) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        held.maybe_ran = true;
+        if held.is_once() || held.job.payload.is_empty() {
+            self.finish(now, id, Outcome::Unknown(doubt));
+            return;
+        }
+        self.requeue(now, id);
+    }
+
+    fn on_renewed(&mut self, now: Now, task: Task, sent: Duration, result: Result<Response, Error>) {
+        let Some(running) = self.tasks.get_mut(&task) else {
+            return;
+        };
+        // Even a lost renewal may have extended the lease.
+        let worst = now.mono + self.cfg.lease + self.cfg.clock_bound;
+        match result {
+            Ok(Response::Ok) => {
+                running.certain = true;
+                running.lease_end = worst;
+                running.renew_at = sent + self.cfg.lease / 3;
+            }
+            Err(Error::Lost) => running.lease_end = worst,
+            _ => {}
+        }
+    }
+
+    pub(crate) fn stop_task(&mut self, task: Task, checkpoint: bool) {
+        let Some(running) = self.tasks.get_mut(&task) else {
+            return;
+        };
+        running.ghost = true;
+        let (instance, addr) = (running.instance.clone(), running.addr);
+        self.call(Call::Stop, instance, addr, Request::Stop { task, checkpoint });
+    }
+
+    /// Renews leases, repeats waits, and gives up on workers out of contact.
+    pub(crate) fn mind_tasks(&mut self, now: Now) {
+        let fenced = matches!(self.life, Life::Fenced { .. });
+        let due: Vec<Task> = self
+            .tasks
+            .iter()
+            .filter(|(_, it)| it.wait_at.is_some_and(|at| at <= now.mono))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in due {
+            self.wait(task);
+        }
+        let ended: Vec<Task> = self
+            .tasks
+            .iter()
+            .filter(|(_, it)| it.lease_end <= now.mono)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in ended {
+            self.on_vanished(now, task);
+        }
+        if fenced {
+            return;
+        }
+        let renew = |it: &Running| it.renew_at <= now.mono && !it.ghost;
+        let due: Vec<Task> = self.tasks.iter().filter(|(_, it)| renew(it)).map(|(task, _)| *task).collect();
+        for task in due {
+            self.renew(now, task);
+        }
+    }
+
+    fn renew(&mut self, now: Now, task: Task) {
+        const AGAIN: Duration = Duration::from_millis(500);
+        let Some(running) = self.tasks.get_mut(&task) else {
+            return;
+        };
+        running.renew_at = now.mono + AGAIN;
+        let (instance, addr) = (running.instance.clone(), running.addr);
+        let lease_ms = self.cfg.lease.as_millis() as u64;
+        let holder = self.cfg.id.clone();
+        self.call(Call::Renew(task), instance, addr, Request::Renew { task, holder, lease_ms });
+    }
+}
--- /dev/null
+++ b/lib/src/entry.rs
@@ -0,0 +1,849 @@
+//! The state machine of an entry instance.
+//!
+//! Events come in with the clock, actions go out as values; the daemon and the
+//! virtual-time tests differ only in who carries the actions out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use smallvec::SmallVec;
+
+use crate::adopt::Adoption;
+use crate::clock::Now;
+use crate::event::{self, Kind};
+use crate::health::Ward;
+use crate::id::{Attempt, InstanceId, JobId, MemberId, Offset, OpId, RackId, TeamId, ZoneId};
+use crate::job::{Done, Doubt, Job, Outcome, Reason, Repeat, Status};
+use crate::journal::{self, Journal};
+use crate::platform::{self, Listed, Presence, Read, Request, Response, Task};
+use crate::queue::Queues;
+use crate::record::Change;
+use crate::replica::Replica;
+use crate::setting;
+use crate::state::State;
+use crate::wire::{Frame, Gossip, Hold, Message};
+
+/// A caller waiting for an answer.
+pub type Ticket = u64;
+/// A call to a worker that has not returned.
+pub type CallId = u64;
+
+/// Settings of one entry instance.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub(crate) id: MemberId,
+    pub(crate) zone: ZoneId,
+    pub(crate) addr: SocketAddr,
+    pub(crate) fresh_bound: Duration,
+    pub(crate) clock_bound: Duration,
+    pub(crate) lease: Duration,
+    pub(crate) id_age: Duration,
+    pub(crate) gossip_every: Duration,
+    pub(crate) peer_dead: Duration,
+    pub(crate) stop_grace: Duration,
+    pub(crate) seed: u64,
+    pub(crate) policy: Policy,
+}
+
+/// Ways of deciding that measurements compare; daemons run the default.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Whose job starts next.
+    pub order: Order,
+    /// How caps are divided among members.
+    pub caps: Caps,
+    /// Whether replicas may catch up from peers.
+    pub relay: Relay,
+}
+
+/// Whose job starts next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// The team furthest below its weighted share.
+    Share,
+    /// The job that has waited longest.
+    FirstCome,
+}
+
+/// How caps are divided among members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Caps {
+    /// Allotments follow demand.
+    Escrow,
+    /// Every member keeps an equal part.
+    Static,
+}
+
+/// Whether replicas may catch up from peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Relay {
+    /// They pull from peers when the log does not answer.
+    Peers,
+    /// They read the log only.
+    LogOnly,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            order: Order::Share,
+            caps: Caps::Escrow,
+            relay: Relay::Peers,
+        }
+    }
+}
+
+/// Builds [`Settings`] from the three that have no default.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    settings: Settings,
+}
+
+impl Settings {
+    /// Starts from the incarnation's name, its zone and its address.
+    pub fn builder(id: &str, zone: &str, addr: SocketAddr) -> Builder {
+        let settings = Settings {
+            id: id.into(),
+            zone: zone.into(),
+            addr,
+            fresh_bound: Duration::from_millis(2_000),
+            clock_bound: Duration::from_millis(250),
+            lease: Duration::from_millis(6_000),
+            id_age: Duration::from_secs(900),
+            gossip_every: Duration::from_millis(100),
+            peer_dead: Duration::from_millis(2_500),
+            stop_grace: Duration::from_secs(10),
+            seed: 0,
+            policy: Policy::default(),
+        };
+        Builder { settings }
+    }
+
+    /// The settings of a new incarnation, named after the moment it begins.
+    pub fn incarnate(&self, wall_ms: u64) -> Settings {
+        let name = self.id.split('@').next().unwrap_or_default();
+        let mut settings = self.clone();
+        settings.id = format!("{name}@{wall_ms:x}").into();
+        settings.seed = self.seed ^ wall_ms;
+        settings
+    }
+
+    /// Name of the incarnation.
+    pub fn id(&self) -> &MemberId {
+        &self.id
+    }
+
+    /// Zone whose workers it places on.
+    pub fn zone(&self) -> &ZoneId {
+        &self.zone
+    }
+}
+
+impl Builder {
+    /// Age of knowledge up to which work starts.
+    pub fn fresh_bound(mut self, bound: Duration) -> Builder {
+        self.settings.fresh_bound = bound;
+        self
+    }
+
+    /// Largest difference between two instances' clocks.
+    pub fn clock_bound(mut self, bound: Duration) -> Builder {
+        self.settings.clock_bound = bound;
+        self
+    }
+
+    /// Length of task leases.
+    pub fn lease(mut self, lease: Duration) -> Builder {
+        self.settings.lease = lease;
+        self
+    }
+
+    /// Time for which job ids are remembered.
+    pub fn id_age(mut self, age: Duration) -> Builder {
+        self.settings.id_age = age;
+        self
+    }
+
+    /// Time between two rounds of gossip.
+    pub fn gossip_every(mut self, every: Duration) -> Builder {
+        self.settings.gossip_every = every;
+        self
+    }
+
+    /// Silence after which a peer of the zone is fenced.
+    pub fn peer_dead(mut self, silence: Duration) -> Builder {
+        self.settings.peer_dead = silence;
+        self
+    }
+
+    /// Time for which a stopping entry waits for its callers' answers.
+    pub fn stop_grace(mut self, grace: Duration) -> Builder {
+        self.settings.stop_grace = grace;
+        self
+    }
+
+    /// Seed of the random numbers, such as operation ids.
+    pub fn seed(mut self, seed: u64) -> Builder {
+        self.settings.seed = seed;
+        self
+    }
+
+    /// Ways of deciding, for measurements.
+    pub fn policy(mut self, policy: Policy) -> Builder {
+        self.settings.policy = policy;
+        self
+    }
+
+    /// The settings.
+    pub fn build(self) -> Settings {
+        self.settings
+    }
+}
+
+/// What an entry is told.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed; sent every few tens of milliseconds.
+    Tick,
+    /// A read of the log returned.
+    Read {
+        /// Monotonic instant before the read was sent.
+        sent: Duration,
+        /// What it returned.
+        result: Result<Read, platform::Error>,
+    },
+    /// An append returned.
+    Appended(Result<Offset, platform::Error>),
+    /// The instance list was read.
+    Listed(Result<Vec<Listed>, platform::Error>),
+    /// A call to a worker returned.
+    Called {
+        /// The call.
+        id: CallId,
+        /// Monotonic instant before it was sent.
+        sent: Duration,
+        /// What it returned.
+        result: Result<Response, platform::Error>,
+    },
+    /// A frame came from a peer.
+    Received(Frame),
+    /// A caller submits a job whose key has been checked.
+    Submit {
+        /// Where the answer goes.
+        ticket: Ticket,
+        /// The job.
+        job: Job,
+    },
+    /// A caller asks for a job's state.
+    Query {
+        /// Where the answer goes.
+        ticket: Ticket,
+        /// The job.
+        job: JobId,
+        /// Whether the answer may wait until the job has ended.
+        wait: Wait,
+    },
+    /// A caller cancels a job.
+    Cancel {
+        /// The job.
+        job: JobId,
+    },
+    /// A caller no longer waits.
+    Dropped(Ticket),
+    /// An operator restricts starts directly.
+    Hold(Hold),
+    /// The process is asked to stop.
+    Stop,
+}
+
+/// Whether an answer may wait until the job has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wait {
+    /// Answer when it has ended.
+    Ended,
+    /// Answer at once.
+    No,
+}
+
+/// What an entry wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Ask the log.
+    Log(journal::Request),
+    /// Read the instance list.
+    List,
+    /// Call a worker.
+    Call {
+        /// Names the call in its return.
+        id: CallId,
+        /// The worker.
+        instance: InstanceId,
+        /// Its address.
+        addr: SocketAddr,
+        /// The request.
+        request: Request,
+    },
+    /// Send messages to a peer.
+    Send {
+        /// The peer.
+        to: MemberId,
+        /// Its address.
+        addr: SocketAddr,
+        /// The messages.
+        frame: Frame,
+    },
+    /// Answer a caller.
+    Reply {
+        /// The caller.
+        ticket: Ticket,
+        /// The answer; `None` if the job is not known.
+        status: Option<Status>,
+    },
+}
+
+/// One entry instance.
+#[derive(Debug)]
+pub struct Entry {
+    pub(crate) cfg: Settings,
+    pub(crate) journal: Journal,
+    pub(crate) listing: bool,
+    pub(crate) peers: BTreeMap<MemberId, Peer>,
+    pub(crate) pulls: BTreeMap<u64, Duration>,
+    pub(crate) jobs: BTreeMap<JobId, Held>,
+    pub(crate) deadlines: BTreeSet<(u64, JobId)>,
+    pub(crate) queues: Queues,
+    pub(crate) tasks: BTreeMap<Task, Running>,
+    pub(crate) calls: BTreeMap<CallId, Call>,
+    pub(crate) workers: BTreeMap<InstanceId, Worker>,
+    pub(crate) presence: Option<BTreeMap<InstanceId, Presence>>,
+    pub(crate) ward: Ward,
+    pub(crate) escrow: crate::escrow::Escrow,
+    pub(crate) adoption: Option<Adoption>,
+    pub(crate) finds: BTreeMap<JobId, Find>,
+    /// Jobs refused to peers for good; a late copy must not be taken.
+    pub(crate) declined: BTreeMap<JobId, Duration>,
+    pub(crate) holds: BTreeMap<Hold, Duration>,
+    pub(crate) life: Life,
+    pub(crate) events: event::Ring,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) outbox: BTreeMap<MemberId, Vec<Message>>,
+    pub(crate) timers: Timers,
+    pub(crate) counters: Counters,
+    next_call: CallId,
+}
+
+/// Phase of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// Waits for its own `Join` to be applied.
+    Joining,
+    /// Takes work.
+    Active,
+    /// Hands its work over.
+    Stopping {
+        /// When it was asked to stop.
+        since: Duration,
+    },
+    /// Fenced by a record; running tasks belong to the adopter.
+    Fenced {
+        /// When it learned so.
+        since: Duration,
+    },
+    /// Nothing is left to do.
+    Finished,
+}
+
+/// Counts for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Jobs accepted.
+    pub accepted: u64,
+    /// Tasks handed to workers.
+    pub started: u64,
+    /// Jobs done.
+    pub done: u64,
+    /// Jobs not run.
+    pub not_run: u64,
+    /// Jobs that may have run.
+    pub unknown: u64,
+    /// Answers dropped because they were late, crossed or cut short.
+    pub stray_answers: u64,
+    /// Appends to the log.
+    pub appends: u64,
+    /// Starts that a worker refused.
+    pub refused: u64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+    pub(crate) last_tick: Duration,
+    pub(crate) gossip_at: Duration,
+    pub(crate) list_at: Duration,
+    pub(crate) escrow_at: Duration,
+    pub(crate) pull_at: Duration,
+    pub(crate) report_at: Duration,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Peer {
+    pub(crate) heard: Duration,
+    pub(crate) gossip: Gossip,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Worker {
+    pub(crate) mine: u32,
+    pub(crate) full_until: Duration,
+    pub(crate) away_until: Duration,
+    pub(crate) away_for: Duration,
+}
+
+/// A job at this entry.
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub(crate) job: Job,
+    pub(crate) callers: SmallVec<[Ticket; 1]>,
+    pub(crate) origins: SmallVec<[MemberId; 1]>,
+    pub(crate) phase: Phase,
+    pub(crate) attempts: Attempt,
+    /// A try was made whose end is not known, so "not run" would not be true.
+    pub(crate) maybe_ran: bool,
+    pub(crate) failed_on: SmallVec<[(InstanceId, RackId); 2]>,
+    pub(crate) accepted: Duration,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Phase {
+    /// Waits until ownership of its id is certain.
+    Claiming,
+    /// Stands in its team's queue.
+    Queued,
+    /// A worker has it.
+    Running(Task),
+    /// Another entry has it, or is being asked.
+    Delegated(Delegation),
+    /// Ended.
+    Ended(Outcome),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Delegation {
+    pub(crate) to: MemberId,
+    pub(crate) role: crate::wire::Role,
+    pub(crate) acked: bool,
+    pub(crate) sent: Duration,
+}
+
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) team: TeamId,
+    pub(crate) instance: InstanceId,
+    pub(crate) addr: SocketAddr,
+    pub(crate) start_by: Duration,
+    pub(crate) certain: bool,
+    pub(crate) lease_end: Duration,
+    pub(crate) renew_at: Duration,
+    pub(crate) wait_at: Option<Duration>,
+    /// The job went on elsewhere; the slot is counted until the lease ends.
+    pub(crate) ghost: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Call {
+    Start(Task),
+    Wait(Task),
+    Renew(Task),
+    Stop,
+    List(InstanceId),
+    Adopt(Task, InstanceId),
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Find {
+    pub(crate) tickets: SmallVec<[Ticket; 1]>,
+    pub(crate) until: Duration,
+}
+
+impl Entry {
+    /// A new incarnation; it joins through the log.
+    pub fn new(cfg: Settings, replica: Replica, now: Now) -> Entry {
+        let mut events = event::Ring::new(cfg.id.clone());
+        events.push(now, Kind::Began { zone: cfg.zone.clone() });
+        let mut entry = Entry {
+            journal: Journal::new(&cfg.id, replica, cfg.seed),
+            listing: false,
+            peers: BTreeMap::new(),
+            pulls: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            queues: Queues::default(),
+            tasks: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            presence: None,
+            ward: Ward::default(),
+            escrow: crate::escrow::Escrow::default(),
+            adoption: None,
+            finds: BTreeMap::new(),
+            declined: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            life: Life::Joining,
+            events,
+            actions: Vec::new(),
+            outbox: BTreeMap::new(),
+            timers: Timers {
+                last_tick: now.mono,
+                ..Timers::default()
+            },
+            counters: Counters::default(),
+            next_call: 0,
+            cfg,
+        };
+        let join = Change::Join {
+            id: entry.cfg.id.clone(),
+            zone: entry.cfg.zone.clone(),
+            addr: entry.cfg.addr,
+        };
+        entry.append(now, join);
+        entry
+    }
+
+    /// Takes one event in and returns what is to be done.
+    pub fn step(&mut self, now: Now, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Read { sent, result } => self.on_read(now, sent, result),
+            Event::Appended(result) => self.journal.on_appended(now, result),
+            Event::Listed(result) => self.on_listed(result),
+            Event::Called { id, sent, result } => self.on_called(now, id, sent, result),
+            Event::Received(frame) => self.on_frame(now, frame),
+            Event::Submit { ticket, job } => self.on_submit(now, ticket, job),
+            Event::Query { ticket, job, wait } => self.on_query(now, ticket, job, wait),
+            Event::Cancel { job } => self.on_cancel(now, job),
+            Event::Dropped(ticket) => self.on_dropped(ticket),
+            Event::Hold(hold) => self.on_hold(now, hold),
+            Event::Stop => self.on_stop(now),
+        }
+        self.place(now);
+        self.flush(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The shared state as this entry knows it.
+    pub fn state(&self) -> &State {
+        self.journal.state()
+    }
+
+    /// The settings.
+    pub fn settings(&self) -> &Settings {
+        &self.cfg
+    }
+
+    /// Team of a job known here.
+    pub fn team_of(&self, job: &JobId) -> Option<TeamId> {
+        self.jobs.get(job).map(|it| it.job.team.clone())
+    }
+
+    /// Tasks counted against allotments, by team.
+    pub fn running_by_team(&self) -> impl Iterator<Item = (&TeamId, u64)> {
+        self.escrow.teams()
+    }
+
+    /// Phase of the process.
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
+    /// Counts for metrics.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// The latest events.
+    pub fn events(&self) -> &event::Ring {
+        &self.events
+    }
+
+    /// Age of what this entry has seen of the log.
+    pub fn age(&self, now: Now) -> Option<Duration> {
+        self.journal.replica().age(now.mono)
+    }
+
+    /// Number of queued jobs.
+    pub fn queued(&self) -> usize {
+        self.queues.total()
+    }
+
+    /// Number of tasks counted against allotments.
+    pub fn running(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Jobs known here with their teams and states.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, &TeamId, Status)> {
+        self.jobs.iter().map(|(id, held)| (id, &held.job.team, held.status()))
+    }
+
+    fn tick(&mut self, now: Now) {
+        self.forgive_pause(now);
+        self.list_instances(now);
+        self.expire(now);
+        self.settle_claims(now);
+        self.mind_tasks(now);
+        self.mind_delegations(now);
+        self.mind_finds(now);
+        self.mind_escrow(now);
+        self.mind_members(now);
+        self.mind_life(now);
+        self.gossip(now);
+        self.ask_log(now);
+    }
+
+    /// After a pause of this process every peer looks silent; their clocks start anew.
+    fn forgive_pause(&mut self, now: Now) {
+        const LONGEST_TICK: Duration = Duration::from_millis(500);
+        if LONGEST_TICK < now.mono - self.timers.last_tick {
+            for peer in self.peers.values_mut() {
+                peer.heard = now.mono;
+            }
+        }
+        self.timers.last_tick = now.mono;
+    }
+
+    fn on_read(&mut self, now: Now, sent: Duration, result: Result<Read, platform::Error>) {
+        if self.journal.on_read(now, sent, result) {
+            self.on_state(now);
+        }
+        self.ask_log(now);
+    }
+
+    /// Sends what is due to the log.
+    fn ask_log(&mut self, now: Now) {
+        for request in self.journal.due(now) {
+            if matches!(request, journal::Request::Append(_)) {
+                self.counters.appends += 1;
+            }
+            self.actions.push(Action::Log(request));
+        }
+    }
+
+    /// Reacts to a newer state.
+    pub(crate) fn on_state(&mut self, now: Now) {
+        self.collect_fates();
+        self.drop_withdrawn(now);
+        self.note_zone(now);
+        let state = self.journal.state();
+        let here = state.roster.get(&self.cfg.id);
+        let active = here.is_some_and(|it| it.phase == crate::member::Phase::Active);
+        match self.life {
+            Life::Joining if active => self.life = Life::Active,
+            Life::Active | Life::Stopping { .. } if !active => self.life = Life::Fenced { since: now.mono },
+            _ => {}
+        }
+    }
+
+    fn note_zone(&mut self, now: Now) {
+        let state = self.journal.state();
+        let found = state.tree.explain(&crate::state::zone_path(&self.cfg.zone), setting::STATE);
+        let Some(offset) = found.offset else {
+            return;
+        };
+        if self.escrow.zone_noted == Some(offset) {
+            return;
+        }
+        self.escrow.zone_noted = Some(offset);
+        self.events.push(
+            now,
+            Kind::Zone {
+                zone: self.cfg.zone.clone(),
+                state: found.text,
+                offset,
+            },
+        );
+    }
+
+    fn collect_fates(&mut self) {
+        for fate in self.journal.fates() {
+            self.escrow.resolved(fate.record.op);
+        }
+    }
+
+    /// Queues a record for the next append.
+    pub(crate) fn append(&mut self, now: Now, change: Change) -> OpId {
+        self.journal.append(now, change)
+    }
+
+    fn list_instances(&mut self, now: Now) {
+        const EVERY: Duration = Duration::from_millis(1_000);
+        if self.listing || now.mono < self.timers.list_at {
+            return;
+        }
+        self.timers.list_at = now.mono + EVERY;
+        self.listing = true;
+        self.actions.push(Action::List);
+    }
+
+    fn on_listed(&mut self, result: Result<Vec<Listed>, platform::Error>) {
+        self.listing = false;
+        if let Ok(list) = result {
+            let presence = list.into_iter().map(|it| (it.id, it.presence)).collect();
+            self.presence = Some(presence);
+        }
+    }
+
+    pub(crate) fn call(&mut self, purpose: Call, instance: InstanceId, addr: SocketAddr, request: Request) {
+        self.next_call += 1;
+        let id = self.next_call;
+        self.calls.insert(id, purpose);
+        self.actions.push(Action::Call {
+            id,
+            instance,
+            addr,
+            request,
+        });
+    }
+
+    fn on_hold(&mut self, now: Now, hold: Hold) {
+        self.holds.entry(hold).or_insert(now.mono);
+    }
+
+    /// Ends jobs whose deadline has passed and forgets old ones.
+    fn expire(&mut self, now: Now) {
+        self.expire_holds();
+        while let Some((deadline, id)) = self.deadlines.first().copied() {
+            if now.wall_ms() < deadline {
+                break;
+            }
+            self.deadlines.pop_first();
+            self.on_deadline(now, id);
+        }
+        let keep = self.cfg.id_age;
+        let old = |it: &Held| it.phase.is_over() && it.accepted + keep < now.mono;
+        self.jobs.retain(|_, held| !old(held));
+        self.declined.retain(|_, since| now.mono < *since + keep);
+    }
+
+    /// A hold ends when the log shows the record, or long after it should have.
+    fn expire_holds(&mut self) {
+        const GIVE_UP_AFTER: Duration = Duration::from_secs(10);
+        let state = self.journal.state();
+        let fresh = self.journal.replica().fresh().unwrap_or_default();
+        let recorded = |hold: &Hold| match hold {
+            Hold::Zone(zone) => state.tree.get(&crate::state::zone_path(zone), setting::STATE) == "out",
+            Hold::Key(key) => state.keys.alive(key).is_err(),
+        };
+        self.holds.retain(|hold, since| !recorded(hold) && fresh < *since + GIVE_UP_AFTER);
+    }
+
+    /// Ends a job and tells everyone who waits for it.
+    pub(crate) fn finish(&mut self, now: Now, id: JobId, outcome: Outcome) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if matches!(held.phase, Phase::Ended(_)) {
+            return;
+        }
+        let outcome = held.truth(outcome);
+        let (team, class, deadline) = (held.job.team.clone(), held.job.class, held.job.deadline_ms);
+        held.phase = Phase::Ended(outcome.clone());
+        held.job.payload = Bytes::new();
+        let callers = std::mem::take(&mut held.callers);
+        let origins = held.origins.clone();
+        self.deadlines.remove(&(deadline, id));
+        self.queues.remove(&team, class, id);
+        self.count(&outcome);
+        self.events.push(
+            now,
+            Kind::Finished {
+                job: id,
+                team,
+                outcome: outcome.describe(),
+            },
+        );
+        for ticket in callers {
+            let status = Some(Status::Ended(outcome.clone()));
+            self.actions.push(Action::Reply { ticket, status });
+        }
+        for origin in origins {
+            let report = Message::Report {
+                job: id,
+                status: Status::Ended(outcome.clone()),
+            };
+            self.send(&origin, report);
+        }
+    }
+
+    fn count(&mut self, outcome: &Outcome) {
+        match outcome {
+            Outcome::Done(_) => self.counters.done += 1,
+            Outcome::NotRun(_) => self.counters.not_run += 1,
+            Outcome::Unknown(_) => self.counters.unknown += 1,
+        }
+    }
+
+    fn on_dropped(&mut self, ticket: Ticket) {
+        for held in self.jobs.values_mut() {
+            held.callers.retain(|it| *it != ticket);
+        }
+        for find in self.finds.values_mut() {
+            find.tickets.retain(|it| *it != ticket);
+        }
+    }
+}
+
+impl Held {
+    pub(crate) fn new(job: Job, now: Now, phase: Phase) -> Held {
+        Held {
+            job,
+            callers: SmallVec::new(),
+            origins: SmallVec::new(),
+            phase,
+            attempts: 0,
+            maybe_ran: false,
+            failed_on: SmallVec::new(),
+            accepted: now.mono,
+        }
+    }
+
+    pub(crate) fn status(&self) -> Status {
+        match &self.phase {
+            Phase::Claiming | Phase::Queued | Phase::Delegated(_) => Status::Queued,
+            Phase::Running(_) => Status::Running,
+            Phase::Ended(outcome) => Status::Ended(outcome.clone()),
+        }
+    }
+
+    /// An outcome that does not claim more than is known.
+    fn truth(&self, outcome: Outcome) -> Outcome {
+        match outcome {
+            Outcome::NotRun(Reason::Deadline) if self.maybe_ran => Outcome::Unknown(Doubt::Deadline),
+            Outcome::NotRun(Reason::Cancelled) if self.maybe_ran => Outcome::Unknown(Doubt::Cancelled),
+            Outcome::NotRun(_) if self.maybe_ran => Outcome::Unknown(Doubt::WorkerLost),
+            outcome => outcome,
+        }
+    }
+
+    pub(crate) fn is_once(&self) -> bool {
+        self.job.repeat == Repeat::Forbidden
+    }
+}
+
+impl Phase {
+    pub(crate) fn is_over(&self) -> bool {
+        matches!(self, Phase::Ended(_))
+    }
+}
+
+impl Outcome {
+    /// One line for the time line.
+    pub fn describe(&self) -> String {
+        match self {
+            Outcome::Done(Done { success: true, .. }) => "done".to_owned(),
+            Outcome::Done(Done { success: false, .. }) => "failed".to_owned(),
+            Outcome::NotRun(reason) => format!("not run: {reason}"),
+            Outcome::Unknown(doubt) => format!("unknown: {doubt}"),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/escrow.rs
@@ -0,0 +1,192 @@
+//! Moving a cap's slots to where they are wanted, a few batched records at a time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Now;
+use crate::entry::{Caps, Entry, Life};
+use crate::id::{MemberId, Offset, OpId, TeamId};
+use crate::key::Ring;
+use crate::record::Change;
+use crate::setting;
+
+/// Shortest time between two rounds.
+const ROUND: Duration = Duration::from_millis(100);
+/// Rounds of all members together, per second.
+const ROUNDS_PER_SECOND: u32 = 100;
+
+/// This entry's own side of the allotments.
+#[derive(Debug, Default)]
+pub(crate) struct Escrow {
+    /// Slots in use by tasks, by team.
+    used: BTreeMap<TeamId, u64>,
+    /// Slots given away by records whose fate is not known yet.
+    giving: BTreeMap<OpId, (TeamId, u64)>,
+    /// Slots asked for by records whose fate is not known yet.
+    asking: BTreeMap<OpId, TeamId>,
+    pub(crate) keys_seen: Option<Arc<Ring>>,
+    pub(crate) zone_noted: Option<Offset>,
+}
+
+impl Escrow {
+    pub(crate) fn count(&mut self, team: &TeamId, slots: u64) {
+        *self.used.entry(team.clone()).or_default() += slots;
+    }
+
+    pub(crate) fn uncount(&mut self, team: &TeamId, slots: u64) {
+        let used = self.used.get_mut(team);
+        let Some(used) = used else {
+            return;
+        };
+        *used = used.saturating_sub(slots);
+        if *used == 0 {
+            self.used.remove(team);
+        }
+    }
+
+    /// The fate of a record is known; the ledger shows it.
+    pub(crate) fn resolved(&mut self, op: OpId) {
+        self.giving.remove(&op);
+        self.asking.remove(&op);
+    }
+
+    pub(crate) fn teams(&self) -> impl Iterator<Item = (&TeamId, u64)> {
+        self.used.iter().map(|(team, used)| (team, *used))
+    }
+
+    pub(crate) fn given(&self, team: &TeamId) -> u64 {
+        self.giving.values().filter(|(it, _)| it == team).map(|(_, slots)| slots).sum()
+    }
+
+    fn is_asking(&self, team: &TeamId) -> bool {
+        self.asking.values().any(|it| it == team)
+    }
+}
+
+impl Entry {
+    /// Slots of a team in use by this entry's tasks.
+    pub(crate) fn in_use(&self, team: &TeamId) -> u64 {
+        self.escrow.used.get(team).copied().unwrap_or(0)
+    }
+
+    /// Slots this entry may still start tasks on for a team.
+    pub(crate) fn spare(&self, team: &TeamId) -> u64 {
+        let state = self.journal.state();
+        let usable = match self.cfg.policy.caps {
+            Caps::Escrow => state.ledger.usable(team, &self.cfg.id, state.cap(team)),
+            Caps::Static => state.cap(team) / (state.roster.active().count().max(1) as u64),
+        };
+        usable.saturating_sub(self.escrow.given(team) + self.in_use(team))
+    }
+
+    /// Slots this entry could use beyond what it holds.
+    pub(crate) fn short(&self, team: &TeamId) -> u64 {
+        let wanted = self.queues.len(team) as u64;
+        wanted.saturating_sub(self.spare(team))
+    }
+
+    /// Takes free slots, gives spare ones to members that are short.
+    pub(crate) fn mind_escrow(&mut self, now: Now) {
+        let active = matches!(self.life, Life::Active | Life::Stopping { .. });
+        if now.mono < self.timers.escrow_at || !active || self.cfg.policy.caps == Caps::Static {
+            return;
+        }
+        let members = self.journal.state().roster.active().count() as u32;
+        let round = Duration::from_secs(1) * members / ROUNDS_PER_SECOND;
+        self.timers.escrow_at = now.mono + round.max(ROUND);
+        self.return_excess(now);
+        if self.life == Life::Active {
+            self.ask(now);
+        }
+        self.give(now);
+    }
+
+    /// After a cap was lowered: gives back what is above the fair part and not in use.
+    fn return_excess(&mut self, now: Now) {
+        let state = self.journal.state();
+        let mut excess = Vec::new();
+        for (team, held) in state.ledger.of(&self.cfg.id) {
+            let fair = state.ledger.fair(team, &self.cfg.id, state.cap(team));
+            let keep = fair.max(self.in_use(team)) + self.escrow.given(team);
+            if keep < held {
+                excess.push((team.clone(), held - keep));
+            }
+        }
+        for (team, slots) in excess {
+            self.transfer(now, team, None, slots);
+        }
+    }
+
+    fn ask(&mut self, now: Now) {
+        let state = self.journal.state();
+        let mut wants = Vec::new();
+        for (team, _) in self.queues.lengths() {
+            let free = state.ledger.free(team, state.cap(team));
+            let short = self.short(team);
+            if 0 < short && 0 < free && !self.escrow.is_asking(team) {
+                wants.push((team.clone(), short.min(self.zone_slots(team)).min(free)));
+            }
+        }
+        for (team, slots) in wants {
+            let change = Change::Grant {
+                team: team.clone(),
+                member: self.cfg.id.clone(),
+                slots,
+            };
+            let op = self.append(now, change);
+            self.escrow.asking.insert(op, team);
+        }
+    }
+
+    /// Slots of the pools that a team may use in this zone.
+    fn zone_slots(&self, team: &str) -> u64 {
+        let state = self.journal.state();
+        let pools = state.tree.get(team, setting::POOLS);
+        let here = state.fleet.iter().filter(|(_, it)| it.zone == self.cfg.zone);
+        let mine = here.filter(|(_, it)| pools.split(',').any(|pool| pool == &*it.pool));
+        mine.map(|(_, it)| u64::from(it.slots)).sum()
+    }
+
+    /// Gives spare slots to the members that are shortest of them.
+    fn give(&mut self, now: Now) {
+        let teams: Vec<TeamId> = self.journal.state().ledger.of(&self.cfg.id).map(|(team, _)| team.clone()).collect();
+        for team in teams {
+            // Own queued jobs come first, unless they cannot start here.
+            let own = if self.is_open(now) { self.queues.len(&team) as u64 } else { 0 };
+            let mut left = self.spare(&team).saturating_sub(own);
+            for (member, short) in self.short_members(now, &team) {
+                let slots = left.min(short);
+                if slots == 0 {
+                    break;
+                }
+                left -= slots;
+                self.transfer(now, team.clone(), Some(member), slots);
+            }
+        }
+    }
+
+    fn short_members(&self, now: Now, team: &TeamId) -> Vec<(MemberId, u64)> {
+        const GOSSIP_AGE: Duration = Duration::from_millis(500);
+        let roster = &self.journal.state().roster;
+        let near = self
+            .peers
+            .iter()
+            .filter(|(id, it)| now.mono < it.heard + GOSSIP_AGE && roster.is_active(id));
+        let short = near.filter_map(|(id, it)| Some((id.clone(), u64::from(it.gossip.teams.get(team)?.short))));
+        let mut short: Vec<(MemberId, u64)> = short.filter(|(_, slots)| 0 < *slots).collect();
+        short.sort_by_key(|(_, slots)| std::cmp::Reverse(*slots));
+        short
+    }
+
+    fn transfer(&mut self, now: Now, team: TeamId, to: Option<MemberId>, slots: u64) {
+        let change = Change::Transfer {
+            team: team.clone(),
+            from: self.cfg.id.clone(),
+            to,
+            slots,
+        };
+        let op = self.append(now, change);
+        self.escrow.giving.insert(op, (team, slots));
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,55 @@
+//! Decisions of oriolewall: settings tree, caps, shares, placement, ownership
+//! and maintenance, as state machines that take the clock as an argument.
+//!
+//! - [`clock`]: the pair of clocks handed to every decision.
+//! - [`id`]: aliases for identifiers.
+//! - [`setting`]: names, ranges and units of the settings of the tree.
+//! - [`tree`]: settings with inheritance.
+//! - [`key`]: callers' keys, kept as hashes.
+//! - [`ledger`]: each team's cap, divided into allotments.
+//! - [`member`]: entry instances and the ownership of job ids.
+//! - [`fleet`]: instances, pools, moves and disruption permits.
+//! - [`wave`]: maintenance waves.
+//! - [`record`]: what the log carries.
+//! - [`state`]: the deterministic apply function over all aggregates.
+//! - [`snapshot`]: the state in checksummed chunks.
+//! - [`journal`]: reading and appending, for every process.
+//! - [`replica`]: replay of the log and the age of what it has seen.
+//! - [`platform`]: ports to the log, the instance list and the workers.
+//! - [`wire`]: messages between entry instances.
+//! - [`job`]: jobs and their outcomes.
+//! - [`queue`]: bounded queues per team.
+//! - [`share`]: whose job starts next.
+//! - [`health`]: workers that fail everything, jobs that fail everywhere.
+//! - [`entry`]: the state machine of an entry instance.
+//! - [`maintain`]: the state machine of the maintenance process.
+//! - [`event`]: the time line of events.
+
+mod adopt;
+pub mod clock;
+mod dispatch;
+pub mod entry;
+mod escrow;
+pub mod event;
+pub mod fleet;
+pub mod health;
+pub mod id;
+pub mod job;
+pub mod journal;
+pub mod key;
+pub mod ledger;
+pub mod maintain;
+pub mod member;
+mod owner;
+mod peer;
+pub mod platform;
+pub mod queue;
+pub mod record;
+pub mod replica;
+pub mod setting;
+pub mod share;
+pub mod snapshot;
+pub mod state;
+pub mod tree;
+pub mod wave;
+pub mod wire;
--- /dev/null
+++ b/lib/src/maintain.rs
@@ -0,0 +1,1 @@
+//! The state machine of the maintenance process.
--- /dev/null
+++ b/lib/src/member.rs
@@ -0,0 +1,213 @@
+//! Entry instances, and which of them owns a job id.
+//!
+//! A job that may not be repeated is first taken by exactly one member: the
+//! one that rendezvous hashing picks for its id. When members come and go,
+//! ids move. A new owner cannot know what the old one took, so it takes as
+//! first-time only ids minted after its ownership began.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+
+use crate::id::{JobId, MemberId, Offset, ZoneId};
+
+/// Membership changes remembered for ownership questions.
+const EPOCHS_KEPT: usize = 64;
+
+/// One incarnation of an entry instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Zone whose workers it places on.
+    pub zone: ZoneId,
+    /// Address for messages from other entries.
+    pub addr: SocketAddr,
+    /// Offset at which it joined; the oldest of a zone takes care of fenced ones.
+    pub joined: Offset,
+    /// Life-cycle phase.
+    pub phase: Phase,
+}
+
+/// Life-cycle phase of a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Takes work.
+    Active,
+    /// Stopped by a record; its accounts are not closed yet.
+    Fenced {
+        /// Offset of the record.
+        at: Offset,
+        /// Wall clock of the record's author, milliseconds since the epoch.
+        wall_ms: u64,
+    },
+}
+
+/// Members in force from one offset on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Epoch {
+    /// Offset of the change.
+    pub offset: Offset,
+    /// Wall clock of the change's author, milliseconds since the epoch.
+    pub wall_ms: u64,
+    /// Active members.
+    pub members: Vec<MemberId>,
+}
+
+/// All members and the recent epochs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    members: BTreeMap<MemberId, Member>,
+    epochs: Vec<Epoch>,
+}
+
+/// Why a membership change was refused.
+#[derive(Clone, Debug, Error, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Error {
+    /// The incarnation joined before.
+    #[error("member {id} joined before; an incarnation joins once")]
+    Joined {
+        /// The member.
+        id: MemberId,
+    },
+    /// No such member, or it is not in the phase that the change needs.
+    #[error("member {id} is not there or not in the phase for this change")]
+    Phase {
+        /// The member.
+        id: MemberId,
+    },
+}
+
+/// What an owner may do with an id it has never seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// Nobody can have taken it before: take it.
+    First,
+    /// An earlier owner may have taken it.
+    Doubtful,
+}
+
+impl Roster {
+    /// Adds a new incarnation.
+    pub fn join(&mut self, offset: Offset, wall_ms: u64, id: &MemberId, zone: &ZoneId, addr: SocketAddr) -> Result<(), Error> {
+        if self.members.contains_key(id) {
+            return Err(Error::Joined { id: id.clone() });
+        }
+        let member = Member {
+            zone: zone.clone(),
+            addr,
+            joined: offset,
+            phase: Phase::Active,
+        };
+        self.members.insert(id.clone(), member);
+        self.turn(offset, wall_ms);
+        Ok(())
+    }
+
+    /// Stops an active member; its accounts stay open until settled.
+    pub fn fence(&mut self, offset: Offset, wall_ms: u64, id: &MemberId) -> Result<(), Error> {
+        let phase_err = || Error::Phase { id: id.clone() };
+        let member = self.members.get_mut(id).ok_or_else(phase_err)?;
+        if member.phase != Phase::Active {
+            return Err(phase_err());
+        }
+        member.phase = Phase::Fenced { at: offset, wall_ms };
+        self.turn(offset, wall_ms);
+        Ok(())
+    }
+
+    /// Removes fenced members, all of them or none.
+    pub fn remove(&mut self, ids: &[MemberId]) -> Result<(), Error> {
+        let fenced = |id: &&MemberId| self.members.get(*id).is_some_and(|it| it.phase != Phase::Active);
+        if let Some(id) = ids.iter().find(|it| !fenced(it)) {
+            return Err(Error::Phase { id: id.clone() });
+        }
+        self.members.retain(|id, _| !ids.contains(id));
+        Ok(())
+    }
+
+    /// The active member of a zone that joined first, other than `except`.
+    pub fn eldest(&self, zone: &str, except: &[MemberId]) -> Option<&MemberId> {
+        let here = self.active().filter(|(id, it)| &*it.zone == zone && !except.contains(id));
+        here.min_by_key(|(_, it)| it.joined).map(|(id, _)| id)
+    }
+
+    /// The member of that id, in any phase.
+    pub fn get(&self, id: &str) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// Whether the member takes work.
+    pub fn is_active(&self, id: &str) -> bool {
+        self.get(id).is_some_and(|it| it.phase == Phase::Active)
+    }
+
+    /// Active members.
+    pub fn active(&self) -> impl Iterator<Item = (&MemberId, &Member)> {
+        self.members.iter().filter(|(_, it)| it.phase == Phase::Active)
+    }
+
+    /// Members stopped by a record whose accounts are open.
+    pub fn fenced(&self) -> impl Iterator<Item = (&MemberId, &Member)> {
+        self.members.iter().filter(|(_, it)| it.phase != Phase::Active)
+    }
+
+    /// Owner of an id under the membership in force.
+    pub fn owner(&self, job: &JobId) -> Option<&MemberId> {
+        self.epochs.last().and_then(|it| it.owner(job))
+    }
+
+    /// Whether `id` may take a never-seen job as first-time.
+    ///
+    /// `margin` covers the time for which an earlier owner may act on an old
+    /// membership, plus the difference between clocks.
+    pub fn claim(&self, id: &str, job: &JobId, mint_ms: u64, margin: Duration) -> Claim {
+        let Some(since_ms) = self.owned_since(id, job) else {
+            return Claim::Doubtful;
+        };
+        if since_ms + margin.as_millis() as u64 <= mint_ms {
+            return Claim::First;
+        }
+        Claim::Doubtful
+    }
+
+    /// Start of the unbroken run of epochs in which `id` owned the job.
+    fn owned_since(&self, id: &str, job: &JobId) -> Option<u64> {
+        let owned = |it: &&Epoch| it.owner(job).is_some_and(|owner| &**owner == id);
+        let run = self.epochs.iter().rev().take_while(owned);
+        run.last().map(|it| it.wall_ms)
+    }
+
+    fn turn(&mut self, offset: Offset, wall_ms: u64) {
+        // Clocks of authors differ; an epoch never starts before its predecessor.
+        let floor = self.epochs.last().map_or(0, |it| it.wall_ms);
+        let members = self.active().map(|(id, _)| id.clone()).collect();
+        self.epochs.push(Epoch {
+            offset,
+            wall_ms: wall_ms.max(floor),
+            members,
+        });
+        if EPOCHS_KEPT < self.epochs.len() {
+            self.epochs.remove(0);
+        }
+    }
+}
+
+impl Epoch {
+    /// The member with the highest hash for this id.
+    pub fn owner(&self, job: &JobId) -> Option<&MemberId> {
+        self.members.iter().max_by_key(|it| score(it, job))
+    }
+}
+
+fn score(member: &str, job: &JobId) -> [u8; 8] {
+    let mut hasher = Sha256::new();
+    hasher.update(job.as_bytes());
+    hasher.update(member.as_bytes());
+    let digest = hasher.finalize();
+    let mut head = [0; 8];
+    head.copy_from_slice(&digest[..8]);
+    head
+}
--- /dev/null
+++ b/lib/src/owner.rs
@@ -0,0 +1,294 @@
+//! Taking jobs in: ownership of ids that may run once only, queries, cancels.
+
+use std::time::Duration;
+
+use crate::clock::Now;
+use crate::entry::{Delegation, Entry, Find, Held, Life, Phase, Ticket, Wait};
+use crate::event::Kind;
+use crate::id::{self, JobId, MemberId};
+use crate::job::{Doubt, Job, Outcome, Reason, Repeat, Status};
+use crate::member::Claim;
+use crate::setting;
+use crate::wire::{Message, Role};
+
+/// Time for which peers are asked whether they have a job.
+const FIND_TIME: Duration = Duration::from_millis(400);
+
+/// What to do with an id that may run once only.
+enum Verdict {
+    /// This entry takes it as first.
+    Take,
+    /// Another member owns it.
+    Forward(MemberId),
+    /// An earlier owner may have it: ask around.
+    Ask,
+    /// Not certain now; look again later.
+    Wait,
+    /// Its fate cannot be known.
+    Doubt(Doubt),
+}
+
+impl Entry {
+    pub(crate) fn on_submit(&mut self, now: Now, ticket: Ticket, job: Job) {
+        let id = job.id;
+        if let Some(held) = self.jobs.get_mut(&id) {
+            if held.job.team != job.team {
+                let outcome = Outcome::NotRun(Reason::IdTaken);
+                self.reply_ended(ticket, outcome);
+                return;
+            }
+            self.attach(ticket, id);
+            return;
+        }
+        let phase = match job.repeat {
+            Repeat::Allowed => Phase::Queued,
+            Repeat::Forbidden => Phase::Claiming,
+        };
+        self.admit(now, job, phase);
+        self.attach(ticket, id);
+        self.take_in(now, id);
+    }
+
+    /// Adds a waiting caller, or answers it if the job has ended.
+    fn attach(&mut self, ticket: Ticket, id: JobId) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if held.phase.is_over() {
+            let status = Some(held.status());
+            self.actions.push(crate::entry::Action::Reply { ticket, status });
+            return;
+        }
+        held.callers.push(ticket);
+    }
+
+    fn reply_ended(&mut self, ticket: Ticket, outcome: Outcome) {
+        let status = Some(Status::Ended(outcome));
+        self.actions.push(crate::entry::Action::Reply { ticket, status });
+    }
+
+    /// Records a job as held here.
+    pub(crate) fn admit(&mut self, now: Now, job: Job, phase: Phase) {
+        let id = job.id;
+        self.counters.accepted += 1;
+        self.events.push(
+            now,
+            Kind::Accepted {
+                job: id,
+                team: job.team.clone(),
+                key: job.key.clone(),
+            },
+        );
+        self.deadlines.insert((job.deadline_ms, id));
+        self.jobs.insert(id, Held::new(job, now, phase));
+    }
+
+    /// Queues an admitted job, or settles its ownership first.
+    pub(crate) fn take_in(&mut self, now: Now, id: JobId) {
+        let Some(held) = self.jobs.get(&id) else {
+            return;
+        };
+        match held.phase {
+            Phase::Queued => self.enqueue(now, id),
+            Phase::Claiming => self.claim(now, id),
+            _ => {}
+        }
+    }
+
+    fn enqueue(&mut self, now: Now, id: JobId) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        held.phase = Phase::Queued;
+        let (team, class) = (held.job.team.clone(), held.job.class);
+        let limit = self.journal.state().tree.number(&team, setting::QUEUE_LIMIT);
+        if self.queues.push(&team, class, id, limit).is_err() {
+            self.finish(now, id, Outcome::NotRun(Reason::QueueFull { team, limit }));
+        }
+    }
+
+    /// Looks again at jobs whose ownership was not certain.
+    pub(crate) fn settle_claims(&mut self, now: Now) {
+        let claiming = |it: &(&JobId, &Held)| it.1.phase == Phase::Claiming;
+        let ids: Vec<JobId> = self.jobs.iter().filter(claiming).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.claim(now, id);
+        }
+    }
+
+    fn claim(&mut self, now: Now, id: JobId) {
+        match self.judge(now, id) {
+            Verdict::Take => self.enqueue(now, id),
+            Verdict::Forward(owner) => self.delegate(now, id, owner, Role::Own),
+            Verdict::Ask => self.ask_around(now, id),
+            Verdict::Wait => {}
+            Verdict::Doubt(doubt) => self.finish(now, id, Outcome::Unknown(doubt)),
+        }
+    }
+
+    fn judge(&self, now: Now, id: JobId) -> Verdict {
+        let clock_bound_ms = self.cfg.clock_bound.as_millis() as u64;
+        let Some(mint_ms) = id::mint_ms(&id) else {
+            return Verdict::Doubt(Doubt::Age);
+        };
+        let oldest = now.wall_ms().saturating_sub(self.cfg.id_age.as_millis() as u64 / 2);
+        let in_time = oldest <= mint_ms && mint_ms <= now.wall_ms() + clock_bound_ms;
+        if !in_time {
+            return Verdict::Doubt(Doubt::Age);
+        }
+        // An owner acts on a fresh view only, or an old one could act beside a new one.
+        if self.gate(now).is_none() || !matches!(self.life, Life::Active | Life::Stopping { .. }) {
+            return Verdict::Wait;
+        }
+        let roster = &self.journal.state().roster;
+        let Some(owner) = roster.owner(&id) else {
+            return Verdict::Wait;
+        };
+        if *owner != self.cfg.id {
+            return Verdict::Forward(owner.clone());
+        }
+        let margin = self.cfg.fresh_bound + 2 * self.cfg.clock_bound;
+        match roster.claim(&self.cfg.id, &id, mint_ms, margin) {
+            Claim::First => Verdict::Take,
+            Claim::Doubtful => Verdict::Ask,
+        }
+    }
+
+    /// Asks all members for a job that an earlier owner may have.
+    fn ask_around(&mut self, now: Now, id: JobId) {
+        if let Some(find) = self.finds.get(&id) {
+            if find.until <= now.mono {
+                self.finds.remove(&id);
+                self.finish(now, id, Outcome::Unknown(Doubt::EarlierOwner));
+            }
+            return;
+        }
+        self.find(now, id, None);
+    }
+
+    fn find(&mut self, now: Now, id: JobId, ticket: Option<Ticket>) {
+        let known = self.finds.contains_key(&id);
+        let find = self.finds.entry(id).or_insert_with(|| Find {
+            until: now.mono + FIND_TIME,
+            ..Find::default()
+        });
+        find.tickets.extend(ticket);
+        if known {
+            return;
+        }
+        let peers: Vec<MemberId> = self.peers.keys().cloned().collect();
+        for peer in peers {
+            self.send(&peer, Message::Find { job: id });
+        }
+    }
+
+    /// Answers questions about unknown jobs when no peer has them.
+    pub(crate) fn mind_finds(&mut self, now: Now) {
+        let over = |it: &Find| it.until <= now.mono;
+        let ids: Vec<JobId> = self.finds.iter().filter(|(_, it)| over(it)).map(|(id, _)| *id).collect();
+        for id in ids {
+            if self.jobs.contains_key(&id) {
+                continue;
+            }
+            let find = self.finds.remove(&id).unwrap_or_default();
+            for ticket in find.tickets {
+                self.actions.push(crate::entry::Action::Reply { ticket, status: None });
+            }
+        }
+    }
+
+    pub(crate) fn on_query(&mut self, now: Now, ticket: Ticket, id: JobId, wait: Wait) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            self.find(now, id, Some(ticket));
+            return;
+        };
+        if wait == Wait::Ended && !held.phase.is_over() {
+            held.callers.push(ticket);
+            return;
+        }
+        let status = Some(held.status());
+        self.actions.push(crate::entry::Action::Reply { ticket, status });
+    }
+
+    pub(crate) fn on_cancel(&mut self, now: Now, id: JobId) {
+        let Some(held) = self.jobs.get(&id) else {
+            let peers: Vec<MemberId> = self.peers.keys().cloned().collect();
+            for peer in peers {
+                self.send(&peer, Message::Cancel { job: id });
+            }
+            return;
+        };
+        match held.phase.clone() {
+            Phase::Queued => self.finish(now, id, Outcome::NotRun(Reason::Cancelled)),
+            Phase::Claiming => self.finish(now, id, Outcome::Unknown(Doubt::Cancelled)),
+            Phase::Running(task) => {
+                self.stop_task(task, false);
+                self.finish(now, id, Outcome::Unknown(Doubt::Cancelled));
+            }
+            Phase::Delegated(delegation) => self.send(&delegation.to, Message::Cancel { job: id }),
+            Phase::Ended(_) => {}
+        }
+    }
+
+    pub(crate) fn on_deadline(&mut self, now: Now, id: JobId) {
+        let Some(held) = self.jobs.get(&id) else {
+            return;
+        };
+        match held.phase.clone() {
+            Phase::Queued => self.finish(now, id, Outcome::NotRun(Reason::Deadline)),
+            Phase::Claiming => self.finish(now, id, Outcome::Unknown(Doubt::OwnerUnreachable)),
+            Phase::Running(task) => {
+                self.stop_task(task, false);
+                self.finish(now, id, Outcome::Unknown(Doubt::Deadline));
+            }
+            // The other entry ends it at the same deadline; its report is waited for a little.
+            Phase::Delegated(delegation) if delegation.role == Role::Own && !delegation.acked => {
+                self.finish(now, id, Outcome::Unknown(Doubt::OwnerUnreachable));
+            }
+            Phase::Delegated(_) => self.finish(now, id, Outcome::Unknown(Doubt::Deadline)),
+            Phase::Ended(_) => {}
+        }
+    }
+
+    /// Ends queued jobs whose key has been withdrawn.
+    pub(crate) fn drop_withdrawn(&mut self, now: Now) {
+        let keys = self.journal.state().keys.clone();
+        if self.escrow.keys_seen.as_ref().is_some_and(|it| std::sync::Arc::ptr_eq(it, &keys)) {
+            return;
+        }
+        self.escrow.keys_seen = Some(keys.clone());
+        let mut ended = Vec::new();
+        for (id, held) in self.jobs.iter().filter(|(_, it)| it.phase == Phase::Queued) {
+            if let Err(crate::key::Error::Withdrawn { offset, .. }) = keys.alive(&held.job.key) {
+                ended.push((*id, offset));
+            }
+        }
+        for (id, offset) in ended {
+            self.finish(now, id, Outcome::NotRun(Reason::KeyWithdrawn { offset }));
+        }
+    }
+
+    /// Hands a job to another member.
+    pub(crate) fn delegate(&mut self, now: Now, id: JobId, to: MemberId, role: Role) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let job = held.job.clone();
+        held.phase = Phase::Delegated(Delegation {
+            to: to.clone(),
+            role,
+            acked: false,
+            sent: now.mono,
+        });
+        self.queues.remove(&job.team, job.class, id);
+        self.events.push(
+            now,
+            Kind::Delegated {
+                job: id,
+                team: job.team.clone(),
+                to: to.clone(),
+            },
+        );
+        self.send(&to, Message::Assign { job, role });
+    }
+}
--- /dev/null
+++ b/lib/src/peer.rs
@@ -0,0 +1,404 @@
+//! Talking to other entry instances: gossip, catching up, jobs handed over.
+
+use std::time::Duration;
+
+use crate::clock::Now;
+use crate::entry::{Action, Entry, Life, Phase, Relay};
+use crate::id::{JobId, MemberId};
+use crate::job::{Doubt, Job, Outcome, Repeat, Status};
+use crate::wire::{Frame, Gossip, Hold, Message, Role, Use};
+
+/// Age of knowledge above which a replica asks peers.
+const PULL_AFTER: Duration = Duration::from_millis(600);
+/// Time between two questions to peers.
+const PULL_EVERY: Duration = Duration::from_millis(200);
+/// Time between two copies of an unanswered message.
+const REPEAT_EVERY: Duration = Duration::from_millis(300);
+/// Silence after which a peer gets no jobs.
+const PEER_SILENT: Duration = Duration::from_millis(1_000);
+/// Silence after which a job handed to a peer is given up or repeated.
+const PEER_LOST: Duration = Duration::from_millis(4_000);
+/// Jobs handed to one peer in one round.
+const DELEGATIONS_PER_ROUND: usize = 16;
+
+impl Entry {
+    /// Puts a message into the frame for a peer; unknown peers are skipped.
+    pub(crate) fn send(&mut self, to: &MemberId, message: Message) {
+        self.outbox.entry(to.clone()).or_default().push(message);
+    }
+
+    pub(crate) fn flush(&mut self, _now: Now) {
+        let outbox = std::mem::take(&mut self.outbox);
+        for (to, messages) in outbox {
+            let Some(member) = self.journal.state().roster.get(&to) else {
+                continue;
+            };
+            let addr = member.addr;
+            let frame = Frame {
+                from: self.cfg.id.clone(),
+                stamp: self.events.stamp(),
+                messages,
+            };
+            self.actions.push(Action::Send { to, addr, frame });
+        }
+    }
+
+    /// Tells all members what this entry knows and runs.
+    pub(crate) fn gossip(&mut self, now: Now) {
+        if now.mono < self.timers.gossip_at {
+            return;
+        }
+        self.timers.gossip_at = now.mono + self.cfg.gossip_every;
+        let near = self.gossip_text(now);
+        let far = Gossip {
+            workers: Default::default(),
+            ..near.clone()
+        };
+        let roster = &self.journal.state().roster;
+        let others = roster.active().filter(|(id, _)| **id != self.cfg.id);
+        let others: Vec<(MemberId, bool)> = others.map(|(id, it)| (id.clone(), it.zone == self.cfg.zone)).collect();
+        for (id, is_near) in others {
+            let gossip = if is_near { near.clone() } else { far.clone() };
+            self.send(&id, Message::Gossip(gossip));
+        }
+        let roster = &self.journal.state().roster;
+        self.peers.retain(|id, _| roster.get(id).is_some());
+        self.pull(now);
+    }
+
+    fn gossip_text(&self, now: Now) -> Gossip {
+        let millis = |since: Duration| now.mono.saturating_sub(since).as_millis() as u64;
+        let mut gossip = Gossip {
+            next: self.journal.state().next(),
+            log_age_ms: self.journal.good().map(millis),
+            log_down_ms: self.journal.failing_since().map(millis),
+            open: self.is_open(now),
+            stopping: self.life != Life::Active,
+            holds: self.holds.keys().cloned().collect(),
+            ..Gossip::default()
+        };
+        for (team, queued) in self.queues.lengths() {
+            let used = Use {
+                running: 0,
+                queued: queued as u32,
+                short: self.short(team) as u32,
+            };
+            gossip.teams.insert(team.clone(), used);
+        }
+        for (team, running) in self.escrow.teams() {
+            gossip.teams.entry(team.clone()).or_default().running = running as u32;
+        }
+        let busy = self.workers.iter().filter(|(_, it)| 0 < it.mine);
+        gossip.workers = busy.map(|(id, it)| (id.clone(), it.mine)).collect();
+        gossip
+    }
+
+    /// Asks peers for what the log does not say.
+    fn pull(&mut self, now: Now) {
+        let stale = self.journal.replica().age(now.mono).is_none_or(|age| PULL_AFTER < age);
+        let off = self.cfg.policy.relay == Relay::LogOnly;
+        if off || !stale || now.mono < self.timers.pull_at {
+            return;
+        }
+        self.timers.pull_at = now.mono + PULL_EVERY;
+        self.pulls.retain(|_, sent| now.mono < *sent + PEER_LOST);
+        let from = self.journal.state().next();
+        let ids: Vec<MemberId> = self.peers.keys().cloned().collect();
+        for id in ids {
+            let nonce = self.pulls.keys().last().map_or(1, |it| it + 1);
+            self.pulls.insert(nonce, now.mono);
+            self.send(&id, Message::Pull { nonce, from });
+        }
+    }
+
+    pub(crate) fn on_frame(&mut self, now: Now, frame: Frame) {
+        self.events.observe(frame.stamp);
+        self.peers.entry(frame.from.clone()).or_default().heard = now.mono;
+        for message in frame.messages {
+            self.on_message(now, &frame.from, message);
+        }
+    }
+
+    fn on_message(&mut self, now: Now, from: &MemberId, message: Message) {
+        match message {
+            Message::Gossip(gossip) => self.on_gossip(now, from, gossip),
+            Message::Pull { nonce, from: offset } => {
+                let age_ms = self.journal.replica().age(now.mono).map(|it| it.as_millis() as u64 + 1);
+                let tail = self.journal.state().next();
+                let delta = self.journal.replica().delta(offset);
+                self.send(
+                    from,
+                    Message::Pulled {
+                        nonce,
+                        tail,
+                        age_ms,
+                        delta,
+                    },
+                );
+            }
+            Message::Pulled {
+                nonce,
+                tail,
+                age_ms,
+                delta,
+            } => {
+                let Some(sent) = self.pulls.remove(&nonce) else {
+                    return;
+                };
+                let age = age_ms.map(Duration::from_millis);
+                let seen = age.and_then(|it| sent.checked_sub(it));
+                if self.journal.replica_mut().take_delta(seen, tail, &delta).is_ok() {
+                    self.on_state(now);
+                }
+            }
+            Message::Assign { job, role } => self.on_assign(now, from, job, role),
+            Message::Declined { job } => self.on_declined(now, from, job),
+            Message::Report { job, status } => self.on_report(now, from, job, status),
+            Message::Thanks { job } => self.on_thanks(from, job),
+            Message::Find { job } => self.on_find(from, job),
+            Message::Cancel { job } if self.jobs.contains_key(&job) => self.on_cancel(now, job),
+            Message::Cancel { .. } => {}
+            Message::Hold(hold) => self.note_hold(now, hold),
+        }
+    }
+
+    fn on_gossip(&mut self, now: Now, from: &MemberId, gossip: Gossip) {
+        for hold in &gossip.holds {
+            self.note_hold(now, hold.clone());
+        }
+        let behind = self.journal.state().next() < gossip.next;
+        if behind && self.journal.replica().age(now.mono).is_none_or(|age| PULL_AFTER < age) {
+            self.timers.pull_at = now.mono;
+        }
+        self.peers.entry(from.clone()).or_default().gossip = gossip;
+    }
+
+    fn note_hold(&mut self, now: Now, hold: Hold) {
+        let state = self.journal.state();
+        let recorded = match &hold {
+            Hold::Zone(zone) => state.tree.get(&crate::state::zone_path(zone), crate::setting::STATE) == "out",
+            Hold::Key(key) => state.keys.alive(key).is_err(),
+        };
+        if !recorded {
+            self.holds.entry(hold).or_insert(now.mono);
+        }
+    }
+
+    fn on_assign(&mut self, now: Now, from: &MemberId, job: Job, role: Role) {
+        let id = job.id;
+        if let Some(held) = self.jobs.get_mut(&id) {
+            if !held.origins.contains(from) {
+                held.origins.push(from.clone());
+            }
+            let status = held.status();
+            self.send(from, Message::Report { job: id, status });
+            return;
+        }
+        let phase = match role {
+            Role::Run => {
+                let decline = self.declined.contains_key(&id) || !self.is_open(now);
+                if decline {
+                    self.declined.insert(id, now.mono);
+                    self.send(from, Message::Declined { job: id });
+                    return;
+                }
+                Phase::Queued
+            }
+            Role::Own if self.journal.state().roster.owner(&id) == Some(&self.cfg.id) => Phase::Claiming,
+            // The sender asks again once both know the same members.
+            Role::Own => return,
+        };
+        self.admit(now, job, phase);
+        if let Some(held) = self.jobs.get_mut(&id) {
+            held.origins.push(from.clone());
+        }
+        self.take_in(now, id);
+        let status = self.jobs.get(&id).map(|it| it.status());
+        if let Some(status) = status {
+            self.send(from, Message::Report { job: id, status });
+        }
+    }
+
+    fn on_declined(&mut self, now: Now, from: &MemberId, id: JobId) {
+        let Some(held) = self.jobs.get(&id) else {
+            return;
+        };
+        let Phase::Delegated(delegation) = &held.phase else {
+            return;
+        };
+        if delegation.to == *from && delegation.role == Role::Run {
+            self.requeue(now, id);
+        }
+    }
+
+    fn on_report(&mut self, now: Now, from: &MemberId, id: JobId, status: Status) {
+        let ended = matches!(status, Status::Ended(_));
+        if ended {
+            self.send(from, Message::Thanks { job: id });
+        }
+        if let Some(find) = self.finds.remove(&id) {
+            for ticket in find.tickets {
+                let status = Some(status.clone());
+                self.actions.push(Action::Reply { ticket, status });
+            }
+        }
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        match (&mut held.phase, status) {
+            (Phase::Delegated(delegation), Status::Ended(outcome)) if delegation.to == *from => {
+                self.finish(now, id, outcome);
+            }
+            (Phase::Delegated(delegation), _) if delegation.to == *from => {
+                delegation.acked = true;
+                delegation.sent = now.mono;
+            }
+            // An id that an earlier owner may have: it does, and this is its state.
+            (Phase::Claiming, Status::Ended(outcome)) => self.finish(now, id, outcome),
+            (Phase::Claiming, _) => {
+                let delegation = crate::entry::Delegation {
+                    to: from.clone(),
+                    role: Role::Own,
+                    acked: true,
+                    sent: now.mono,
+                };
+                held.phase = Phase::Delegated(delegation);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_thanks(&mut self, from: &MemberId, id: JobId) {
+        if let Some(held) = self.jobs.get_mut(&id) {
+            held.origins.retain(|it| it != from);
+        }
+    }
+
+    fn on_find(&mut self, from: &MemberId, id: JobId) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        // A forwarder has nothing of its own to say.
+        let holds = !matches!(&held.phase, Phase::Claiming | Phase::Delegated(_));
+        if !holds {
+            return;
+        }
+        if !held.origins.contains(from) {
+            held.origins.push(from.clone());
+        }
+        let status = held.status();
+        self.send(from, Message::Report { job: id, status });
+    }
+
+    /// Repeats unanswered messages, takes jobs back from lost peers, and hands
+    /// out what cannot start here.
+    pub(crate) fn mind_delegations(&mut self, now: Now) {
+        if now.mono < self.timers.report_at {
+            return;
+        }
+        self.timers.report_at = now.mono + Duration::from_millis(100);
+        let delegated: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, it)| matches!(it.phase, Phase::Delegated(_)))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in delegated {
+            self.mind_delegation(now, id);
+        }
+        self.repeat_reports(now);
+        self.hand_out(now);
+    }
+
+    fn mind_delegation(&mut self, now: Now, id: JobId) {
+        let Some(held) = self.jobs.get(&id) else {
+            return;
+        };
+        let Phase::Delegated(delegation) = held.phase.clone() else {
+            return;
+        };
+        let roster = &self.journal.state().roster;
+        let known = roster.is_active(&delegation.to);
+        let heard = self.peers.get(&delegation.to).map_or(Duration::ZERO, |it| it.heard);
+        let lost = !known || heard.max(delegation.sent) + PEER_LOST <= now.mono;
+        if lost && delegation.role == Role::Own {
+            // The id has a new owner, which knows what it can tell.
+            if let Some(held) = self.jobs.get_mut(&id).filter(|_| !known) {
+                held.phase = Phase::Claiming;
+            }
+            return;
+        }
+        if lost {
+            self.take_back(now, id);
+            return;
+        }
+        if delegation.sent + REPEAT_EVERY <= now.mono {
+            let job = held.job.clone();
+            if let Some(held) = self.jobs.get_mut(&id)
+                && let Phase::Delegated(delegation) = &mut held.phase
+            {
+                delegation.sent = now.mono;
+            }
+            self.send(
+                &delegation.to,
+                Message::Assign {
+                    job,
+                    role: delegation.role,
+                },
+            );
+        }
+    }
+
+    /// The peer that was to run a job is lost.
+    fn take_back(&mut self, now: Now, id: JobId) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        held.maybe_ran = true;
+        if held.job.repeat == Repeat::Forbidden {
+            self.finish(now, id, Outcome::Unknown(Doubt::WorkerLost));
+            return;
+        }
+        self.requeue(now, id);
+    }
+
+    fn repeat_reports(&mut self, now: Now) {
+        let roster = &self.journal.state().roster;
+        let mut reports = Vec::new();
+        for (id, held) in self.jobs.iter_mut().filter(|(_, it)| it.phase.is_over()) {
+            held.origins.retain(|it| roster.get(it).is_some());
+            reports.extend(held.origins.iter().map(|it| (it.clone(), *id, held.status())));
+        }
+        let _ = now;
+        for (to, job, status) in reports {
+            self.send(&to, Message::Report { job, status });
+        }
+    }
+
+    /// Hands queued jobs that cannot start here to open entries of other zones.
+    fn hand_out(&mut self, now: Now) {
+        if self.is_open(now) || self.life == Life::Joining {
+            return;
+        }
+        let open = self
+            .peers
+            .iter()
+            .filter(|(id, it)| now.mono < it.heard + PEER_SILENT && it.gossip.open && self.journal.state().roster.is_active(id));
+        let open: Vec<MemberId> = open.map(|(id, _)| id.clone()).collect();
+        for peer in open {
+            for _ in 0..DELEGATIONS_PER_ROUND {
+                let Some(id) = self.next_handed_out() else {
+                    return;
+                };
+                self.delegate(now, id, peer.clone(), Role::Run);
+            }
+        }
+    }
+
+    fn next_handed_out(&self) -> Option<JobId> {
+        use crate::job::Class;
+        let by_class = [Class::Urgent, Class::Normal].into_iter();
+        let mut firsts = by_class.flat_map(|class| self.queues.waiting(class).filter_map(move |team| self.queues.first(team, class)));
+        firsts.next()
+    }
+}
--- /dev/null
+++ b/lib/src/wave.rs
@@ -0,0 +1,98 @@
+//! Maintenance waves: every instance maintained once in a window, rack by rack.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::{Fleet, Health};
+use crate::id::{InstanceId, PoolId, RackId, ZoneId};
+use crate::setting::Budget;
+
+/// What operators last ordered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Name of the wave.
+    pub name: String,
+    /// Whether instances are taken.
+    pub mode: Mode,
+    /// Start, milliseconds since the epoch. Instances maintained later are done.
+    pub start_ms: u64,
+    /// Time by which every instance is to be maintained.
+    pub window: Duration,
+}
+
+/// Whether a wave goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Mode {
+    /// Takes instances.
+    Running,
+    /// Takes no further instances; drains under way finish.
+    Paused,
+}
+
+/// How far a wave has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Instances of the fleet.
+    pub total: usize,
+    /// Instances maintained since the start.
+    pub done: usize,
+    /// Instances under a maintenance permit now.
+    pub active: usize,
+}
+
+impl Order {
+    /// Whether this instance has been maintained in this wave.
+    fn covers(&self, maintained_ms: u64) -> bool {
+        self.start_ms <= maintained_ms
+    }
+
+    /// How far the wave has come.
+    pub fn progress(&self, fleet: &Fleet) -> Progress {
+        let done = fleet.iter().filter(|(_, it)| self.covers(it.maintained_ms)).count();
+        let active = fleet.iter().filter(|(_, it)| it.permit.is_some()).count();
+        Progress {
+            total: fleet.iter().count(),
+            done,
+            active,
+        }
+    }
+
+    /// Instances to ask permits for next, within what every pool's budget
+    /// leaves after setting aside the loss of one more rack.
+    pub fn next<F>(&self, fleet: &Fleet, budget_of: F) -> Vec<InstanceId>
+    where
+        F: Fn(&str) -> Budget,
+    {
+        if self.mode == Mode::Paused {
+            return Vec::new();
+        }
+        let pools: BTreeSet<&PoolId> = fleet.iter().map(|(_, it)| &it.pool).collect();
+        let picks = pools.into_iter().map(|pool| self.next_in_pool(fleet, pool, budget_of(pool)));
+        picks.flatten().collect()
+    }
+
+    fn next_in_pool(&self, fleet: &Fleet, pool: &PoolId, budget: Budget) -> Vec<InstanceId> {
+        let allowed = budget.of(fleet.size(pool));
+        let room = allowed.saturating_sub(fleet.disrupted(pool));
+        let mut waiting: Vec<_> = fleet.iter().filter(|(_, it)| it.pool == *pool && self.is_waiting(it)).collect();
+        // One rack at a time: a rack loss during the wave then mostly hits
+        // instances that are out already.
+        let open = open_racks(fleet, pool);
+        waiting.sort_by_key(|(id, it)| {
+            let opened = open.contains(&(it.zone.clone(), it.rack.clone()));
+            (!opened, it.zone.clone(), it.rack.clone(), (*id).clone())
+        });
+        waiting.into_iter().take(room).map(|(id, _)| id.clone()).collect()
+    }
+
+    fn is_waiting(&self, instance: &crate::fleet::Instance) -> bool {
+        instance.permit.is_none() && instance.health != Health::Down && !self.covers(instance.maintained_ms)
+    }
+}
+
+fn open_racks(fleet: &Fleet, pool: &PoolId) -> BTreeSet<(ZoneId, RackId)> {
+    let under_permit = fleet.iter().filter(|(_, it)| it.pool == *pool && it.permit.is_some());
+    under_permit.map(|(_, it)| (it.zone.clone(), it.rack.clone())).collect()
+}
