owner: earlier owners hand over what they know of an id

Cause: after every membership change the new owner of an id answered "unknown" for ids minted less than 2.5 s after the change, because an earlier owner might have taken them.

Change: the new owner asks exactly the members that owned the id while it existed; when each says it has not taken the job and knows that it is no owner any more, the job is first. A fenced entry lingers to answer.

--- a/lib/src/adopt.rs
+++ b/lib/src/adopt.rs
@@ -293,7 +293,10 @@
     fn mind_fenced(&mut self, now: Now, since: Duration) {
         let waiting = self.jobs.values().any(|it| !it.phase.is_over() && !it.callers.is_empty());
         let untold = self.jobs.values().any(|it| it.phase.is_over() && !it.origins.is_empty());
-        if (!waiting && !untold) || since + self.cfg.stop_grace <= now.mono {
+        // New owners of its ids ask what it took, for as long as old views may be acted upon.
+        let linger = self.cfg.fresh_bound + 2 * self.cfg.clock_bound;
+        let asked = since + linger <= now.mono;
+        if (!waiting && !untold && asked) || since + self.cfg.stop_grace.max(linger) <= now.mono {
             self.send_callers_away();
             self.end(now);
         }
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -463,6 +463,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Find {
     pub(crate) tickets: SmallVec<[Ticket; 1]>,
+    /// Peers that do not have the job and will not take it as owner.
+    pub(crate) absent: BTreeSet<MemberId>,
     pub(crate) until: Duration,
 }
 
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -5,7 +5,7 @@
 //! ids move. A new owner cannot know what the old one took, so it takes as
 //! first-time only ids minted after its ownership began.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -80,15 +80,6 @@
     },
 }
 
-/// What an owner may do with an id it has never seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Claim {
-    /// Nobody can have taken it before: take it.
-    First,
-    /// An earlier owner may have taken it.
-    Doubtful,
-}
-
 impl Roster {
     /// Adds a new incarnation.
     pub fn join(&mut self, offset: Offset, wall_ms: u64, id: &MemberId, zone: &ZoneId, addr: SocketAddr) -> Result<(), Error> {
@@ -159,25 +150,34 @@
         self.epochs.last().and_then(|it| it.owner(job))
     }
 
-    /// Whether `id` may take a never-seen job as first-time.
+    /// Other members that may have taken a job as its owner.
     ///
-    /// `margin` covers the time for which an earlier owner may act on an old
-    /// membership, plus the difference between clocks.
-    pub fn claim(&self, id: &str, job: &JobId, mint_ms: u64, margin: Duration) -> Claim {
-        let Some(since_ms) = self.owned_since(id, job) else {
-            return Claim::Doubtful;
-        };
-        if since_ms + margin.as_millis() as u64 <= mint_ms {
-            return Claim::First;
-        }
-        Claim::Doubtful
+    /// Those are the owners of its id in every epoch that was in force, or
+    /// still acted upon, after it was minted. `margin` covers the time for which
+    /// a member may act on an old epoch, plus the difference between clocks.
+    pub fn earlier_owners(&self, id: &str, job: &JobId, mint_ms: u64, margin: Duration) -> BTreeSet<&MemberId> {
+        let margin_ms = margin.as_millis() as u64;
+        let ends = self.epochs.iter().skip(1).map(|it| it.wall_ms).chain([u64::MAX]);
+        let open = self
+            .epochs
+            .iter()
+            .zip(ends)
+            .filter(|(_, end_ms)| mint_ms < end_ms.saturating_add(margin_ms));
+        let owners = open.filter_map(|(epoch, _)| epoch.owner(job));
+        owners.filter(|it| &***it != id).collect()
     }
 
-    /// Start of the unbroken run of epochs in which `id` owned the job.
-    fn owned_since(&self, id: &str, job: &JobId) -> Option<u64> {
-        let owned = |it: &&Epoch| it.owner(job).is_some_and(|owner| &**owner == id);
-        let run = self.epochs.iter().rev().take_while(owned);
-        run.last().map(|it| it.wall_ms)
+    /// Offset of the latest change of the active members.
+    pub fn epoch(&self) -> Offset {
+        self.epochs.last().map_or(0, |it| it.offset)
+    }
+
+    /// Wall clock of the oldest change that is remembered, milliseconds since the epoch.
+    pub fn remembered_since_ms(&self) -> u64 {
+        if self.epochs.len() < EPOCHS_KEPT {
+            return 0;
+        }
+        self.epochs.first().map_or(0, |it| it.wall_ms)
     }
 
     fn turn(&mut self, offset: Offset, wall_ms: u64) {
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -1,13 +1,13 @@
 //! Taking jobs in: ownership of ids that may run once only, queries, cancels.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::clock::Now;
 use crate::entry::{Delegation, Entry, Find, Held, Life, Phase, Ticket, Wait};
 use crate::event::Kind;
-use crate::id::{self, JobId, MemberId};
+use crate::id::{self, JobId, MemberId, Offset};
 use crate::job::{Doubt, Job, Outcome, Reason, Repeat, Status};
-use crate::member::Claim;
 use crate::setting;
 use crate::wire::{Message, Role};
 
@@ -21,7 +21,7 @@
     /// Another member owns it.
     Forward(MemberId),
     /// An earlier owner may have it: ask around.
-    Ask,
+    Ask(BTreeSet<MemberId>),
     /// Not certain now; look again later.
     Wait,
     /// Its fate cannot be known.
@@ -120,7 +120,7 @@
         match self.judge(now, id) {
             Verdict::Take => self.enqueue(now, id),
             Verdict::Forward(owner) => self.delegate(now, id, owner, Role::Own),
-            Verdict::Ask => self.ask_around(now, id),
+            Verdict::Ask(owners) => self.ask_around(now, id, &owners),
             Verdict::Wait => {}
             Verdict::Doubt(doubt) => self.finish(now, id, Outcome::Unknown(doubt)),
         }
@@ -132,6 +132,7 @@
             return Verdict::Doubt(Doubt::Age);
         };
         let oldest = now.wall_ms().saturating_sub(self.cfg.id_age.as_millis() as u64 / 2);
+        let oldest = oldest.max(self.journal.state().roster.remembered_since_ms());
         let in_time = oldest <= mint_ms && mint_ms <= now.wall_ms() + clock_bound_ms;
         if !in_time {
             return Verdict::Doubt(Doubt::Age);
@@ -148,22 +149,42 @@
             return Verdict::Forward(owner.clone());
         }
         let margin = self.cfg.fresh_bound + 2 * self.cfg.clock_bound;
-        match roster.claim(&self.cfg.id, &id, mint_ms, margin) {
-            Claim::First => Verdict::Take,
-            Claim::Doubtful => Verdict::Ask,
+        let earlier = roster.earlier_owners(&self.cfg.id, &id, mint_ms, margin);
+        if earlier.is_empty() {
+            return Verdict::Take;
         }
+        Verdict::Ask(earlier.into_iter().cloned().collect())
     }
 
-    /// Asks all members for a job that an earlier owner may have.
-    fn ask_around(&mut self, now: Now, id: JobId) {
-        if let Some(find) = self.finds.get(&id) {
-            if find.until <= now.mono {
-                self.finds.remove(&id);
-                self.finish(now, id, Outcome::Unknown(Doubt::EarlierOwner));
-            }
+    /// Asks all members for a job that an earlier owner may have. It is first
+    /// here once every earlier owner says that it has not taken it and never will.
+    fn ask_around(&mut self, now: Now, id: JobId, owners: &BTreeSet<MemberId>) {
+        let Some(find) = self.finds.get(&id) else {
+            self.find(now, id, None);
+            return;
+        };
+        if owners.is_subset(&find.absent) {
+            self.finds.remove(&id);
+            self.enqueue(now, id);
+        } else if find.until <= now.mono {
+            self.finds.remove(&id);
+            self.finish(now, id, Outcome::Unknown(Doubt::EarlierOwner));
+        }
+    }
+
+    /// A peer does not have a job; `next` tells which members it knows.
+    pub(crate) fn on_absent(&mut self, now: Now, from: &MemberId, id: JobId, next: Offset) {
+        // Only who knows of the latest owner will certainly not take the job itself.
+        if next <= self.journal.state().roster.epoch() {
+            return;
+        }
+        let Some(find) = self.finds.get_mut(&id) else {
             return;
+        };
+        find.absent.insert(from.clone());
+        if self.jobs.get(&id).is_some_and(|it| it.phase == Phase::Claiming) {
+            self.claim(now, id);
         }
-        self.find(now, id, None);
     }
 
     fn find(&mut self, now: Now, id: JobId, ticket: Option<Ticket>) {
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -156,6 +156,7 @@
             Message::Report { job, status } => self.on_report(now, from, job, status),
             Message::Thanks { job } => self.on_thanks(from, job),
             Message::Find { job } => self.on_find(from, job),
+            Message::Absent { job, next } => self.on_absent(now, from, job, next),
             Message::Cancel { job } if self.jobs.contains_key(&job) => self.on_cancel(now, job),
             Message::Cancel { .. } => {}
             Message::Hold(hold) => self.note_hold(now, hold),
@@ -275,12 +276,19 @@
     }
 
     fn on_find(&mut self, from: &MemberId, id: JobId) {
+        let next = self.journal.state().next();
         let Some(held) = self.jobs.get_mut(&id) else {
+            self.send(from, Message::Absent { job: id, next });
             return;
         };
-        // A forwarder has nothing of its own to say.
-        let holds = !matches!(&held.phase, Phase::Claiming | Phase::Delegated(_));
-        if !holds {
+        // A job handed to another entry as its owner was never taken here.
+        let forwards = match &held.phase {
+            Phase::Claiming => true,
+            Phase::Delegated(delegation) => delegation.role == Role::Own,
+            _ => false,
+        };
+        if forwards {
+            self.send(from, Message::Absent { job: id, next });
             return;
         }
         if !held.origins.contains(from) {
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -77,6 +77,13 @@
         /// The job.
         job: JobId,
     },
+    /// Answers a `Find`: the sender does not have the job.
+    Absent {
+        /// The job.
+        job: JobId,
+        /// Next offset of the sender.
+        next: Offset,
+    },
     /// Asks for a job to be cancelled.
     Cancel {
         /// The job.
