--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`operator`]: what operators' tools do.
 //! - [`routes`]: HTTP routes of an entry instance.
 //! - [`api`]: JSON bodies.
+//! - [`timeline`]: the events of all processes in one order.
 //! - [`metrics`]: Prometheus metrics.
 
 pub mod api;
@@ -26,3 +27,4 @@
 pub mod server;
 pub mod settings;
 pub mod shutdown;
+pub mod timeline;
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -386,8 +386,41 @@
         kind: Kind::Addr,
         help: "address for metrics, health and events",
     },
+    Spec {
+        section: "maintain",
+        key: "snapshot_every",
+        default: Some("20000"),
+        kind: Kind::Number(10, 10_000_000),
+        help: "offsets between two snapshots; keep it under a third of the log's retention",
+    },
     PLATFORM_LOG,
     PLATFORM_LIST,
     LOG_LEVEL,
     LOG_FILE,
 ];
+
+/// Settings of `oriolectl` and `oriole-timeline`.
+pub const CLIENT: &[Spec] = &[
+    Spec {
+        section: "client",
+        key: "author",
+        default: Some("operator"),
+        kind: Kind::Name,
+        help: "name that signs changes",
+    },
+    Spec {
+        section: "client",
+        key: "entries",
+        default: Some(""),
+        kind: Kind::Addrs,
+        help: "entries to ask and to tell",
+    },
+    Spec {
+        section: "client",
+        key: "sources",
+        default: Some(""),
+        kind: Kind::Addrs,
+        help: "further processes with events, such as oriole-maintain",
+    },
+    PLATFORM_LOG,
+];
--- a/lib/src/journal.rs
+++ b/lib/src/journal.rs
@@ -1,7 +1,7 @@
 //! A process's side of the log: reading along, and appending until the fate of
 //! every record is known.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -54,6 +54,7 @@
     author: String,
     replica: Replica,
     appends: BTreeMap<OpId, Pending>,
+    raw: VecDeque<Bytes>,
     reading: bool,
     appending: bool,
     read_at: Duration,
@@ -76,6 +77,7 @@
             author: author.to_owned(),
             replica,
             appends: BTreeMap::new(),
+            raw: VecDeque::new(),
             reading: false,
             appending: false,
             read_at: Duration::ZERO,
@@ -124,6 +126,12 @@
         op
     }
 
+    /// Queues an encoded payload that is appended once, such as a snapshot's
+    /// part; a lost one only makes its snapshot useless.
+    pub(crate) fn push_raw(&mut self, entry: Bytes) {
+        self.raw.push_back(entry);
+    }
+
     /// Changes whose fate is not known yet.
     pub fn pending(&self) -> impl Iterator<Item = &Change> {
         self.appends.values().map(|it| &it.record.change)
@@ -158,7 +166,9 @@
             records.push(pending.record.clone());
         }
         if records.is_empty() {
-            return None;
+            let raw = self.raw.pop_front()?;
+            self.appending = true;
+            return Some(Request::Append(raw));
         }
         self.appending = true;
         Some(Request::Append(Payload::Records(records).encode()))
--- a/timeline/src/main.rs
+++ b/timeline/src/main.rs
@@ -1,1 +1,66 @@
-fn main() {}
+//! `oriole-timeline`: one time line of the events of all processes.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use oriole_daemon::client::Client;
+use oriole_daemon::settings::{self, Settings};
+use oriole_daemon::timeline::{self, Filter};
+
+/// Print the events of all processes in one order.
+///
+/// Example: oriole-timeline --config examples/client.ini --team org/utility/checks
+#[derive(FromArgs)]
+struct Args {
+    /// settings file
+    #[argh(option)]
+    config: PathBuf,
+    /// only this team
+    #[argh(option)]
+    team: Option<String>,
+    /// only this instance
+    #[argh(option)]
+    instance: Option<String>,
+    /// only this job
+    #[argh(option)]
+    job: Option<String>,
+    /// only this availability zone
+    #[argh(option)]
+    zone: Option<String>,
+    /// print JSON lines
+    #[argh(switch)]
+    json: bool,
+    /// files of JSON lines to merge instead of asking processes
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let args: Args = argh::from_env();
+    let settings = Settings::load(&args.config, settings::CLIENT)?;
+    let filter = Filter {
+        team: args.team,
+        instance: args.instance,
+        job: args.job,
+        zone: args.zone,
+    };
+    let collected = if args.files.is_empty() {
+        let mut sources = settings.addrs("client", "entries");
+        sources.extend(settings.addrs("client", "sources"));
+        timeline::collect(&Client::new(), &sources).await
+    } else {
+        timeline::load(&args.files)?
+    };
+    for event in collected.events.iter().filter(|it| filter.takes(it)) {
+        if args.json {
+            println!("{}", serde_json::to_string(event)?);
+        } else {
+            println!("{}", timeline::line(event));
+        }
+    }
+    for gap in &collected.gaps {
+        eprintln!("missing: {gap}");
+    }
+    Ok(())
+}
