--- /dev/null
+++ b/ctl/src/commands/job.rs
@@ -0,0 +1,90 @@
+//! `oriolectl job`.
+
+use argh::FromArgs;
+use oriole_daemon::api::JobLine;
+use oriole_daemon::client::Call;
+use oriole_daemon::timeline::{self, Filter};
+use oriolewall::event::Event;
+
+use crate::context::Context;
+
+const TIMEOUT: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// List jobs, or say why one ran where it did.
+///
+/// Example: oriolectl --config client.ini job explain 01900000-0000-7000-8000-000000000000
+#[derive(FromArgs)]
+#[argh(subcommand, name = "job")]
+pub(crate) struct Args {
+    #[argh(subcommand)]
+    action: Action,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Action {
+    List(List),
+    Explain(Explain),
+}
+
+/// List the jobs that entries remember.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {
+    /// only this team, such as org/utility/checks
+    #[argh(option)]
+    team: Option<String>,
+}
+
+/// Tell a job's story from the events of all entries.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    /// id of the job
+    #[argh(positional)]
+    id: String,
+}
+
+pub(super) async fn run(ctx: &Context, args: Args) -> anyhow::Result<()> {
+    match args.action {
+        Action::List(args) => list(ctx, args.team.as_deref()).await,
+        Action::Explain(args) => explain(ctx, &args.id).await,
+    }
+}
+
+async fn list(ctx: &Context, team: Option<&str>) -> anyhow::Result<()> {
+    let mut lines: Vec<JobLine> = Vec::new();
+    for entry in ctx.operator.entries() {
+        match ctx.operator.client().call(Call::get(*entry, "/v1/all-jobs", TIMEOUT)).await {
+            Ok(response) => lines.extend(serde_json::from_slice::<Vec<JobLine>>(&response.body)?),
+            Err(err) => eprintln!("missing: {entry}: {err}"),
+        }
+    }
+    lines.retain(|it| team.is_none_or(|team| *it.team == *team));
+    lines.sort_by_key(|it| it.id);
+    ctx.print(&lines, || {
+        lines
+            .iter()
+            .map(|it| format!("{} {:<32} {}", it.id, it.team, it.state))
+            .collect::<Vec<_>>()
+            .join("\n")
+    });
+    Ok(())
+}
+
+async fn explain(ctx: &Context, id: &str) -> anyhow::Result<()> {
+    let filter = Filter {
+        job: Some(id.to_owned()),
+        ..Filter::default()
+    };
+    let collected = timeline::collect(ctx.operator.client(), ctx.operator.entries()).await;
+    let events: Vec<&Event> = collected.events.iter().filter(|it| filter.takes(it)).collect();
+    for gap in &collected.gaps {
+        eprintln!("missing: {gap}");
+    }
+    anyhow::ensure!(!events.is_empty(), "no entry remembers job {id}");
+    ctx.print(&events, || {
+        events.iter().map(|it| timeline::line(it)).collect::<Vec<_>>().join("\n")
+    });
+    Ok(())
+}
--- /dev/null
+++ b/ctl/src/commands/timeline.rs
@@ -0,0 +1,45 @@
+//! `oriolectl timeline`.
+
+use argh::FromArgs;
+use oriole_daemon::timeline::{self, Filter};
+
+use crate::context::Context;
+
+/// Print the events of all processes in one order.
+///
+/// Example: oriolectl --config client.ini timeline --zone zb
+#[derive(FromArgs)]
+#[argh(subcommand, name = "timeline")]
+pub(crate) struct Args {
+    /// only this team
+    #[argh(option)]
+    team: Option<String>,
+    /// only this instance
+    #[argh(option)]
+    instance: Option<String>,
+    /// only this job
+    #[argh(option)]
+    job: Option<String>,
+    /// only this availability zone
+    #[argh(option)]
+    zone: Option<String>,
+}
+
+pub(super) async fn run(ctx: &Context, args: Args) -> anyhow::Result<()> {
+    let filter = Filter {
+        team: args.team,
+        instance: args.instance,
+        job: args.job,
+        zone: args.zone,
+    };
+    let mut sources = ctx.operator.entries().to_vec();
+    sources.extend(ctx.settings.addrs("client", "sources"));
+    let collected = timeline::collect(ctx.operator.client(), &sources).await;
+    for event in collected.events.iter().filter(|it| filter.takes(it)) {
+        ctx.print(event, || timeline::line(event));
+    }
+    for gap in &collected.gaps {
+        eprintln!("missing: {gap}");
+    }
+    Ok(())
+}
--- a/daemon/src/operator.rs
+++ b/daemon/src/operator.rs
@@ -57,7 +57,7 @@
         source: PlatformError,
     },
     /// The change was refused by every replica.
-    #[error("{0}")]
+    #[error(transparent)]
     Refused(#[from] Refusal),
     /// The log could not be read.
     #[error(transparent)]
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -43,7 +43,7 @@
     /// to which every other zone has said so, with no peer ahead of us.
     fn agreed_outage(&self, now: Now) -> Option<Duration> {
         let state = self.journal.state();
-        let failing = self.journal.failing_since()?;
+        let failing = self.journal.failing_since(now.mono)?;
         if now.mono < failing + OUTAGE_AFTER || state.tree.get("", setting::LOG_OUTAGE) != "continue" {
             return None;
         }
--- a/lib/src/journal.rs
+++ b/lib/src/journal.rs
@@ -18,6 +18,8 @@
 
 /// Longest wait of one read for the next entry.
 const READ_WAIT: Duration = Duration::from_millis(200);
+/// Time beyond its wait after which a read is overdue.
+const READ_SLOW: Duration = Duration::from_millis(600);
 /// Pause after a failed read.
 const READ_AGAIN: Duration = Duration::from_millis(200);
 /// Pause after a failed append.
@@ -55,7 +57,8 @@
     replica: Replica,
     appends: BTreeMap<OpId, Pending>,
     raw: VecDeque<Bytes>,
-    reading: bool,
+    /// When the read that has not returned was sent.
+    reading: Option<Duration>,
     appending: bool,
     read_at: Duration,
     append_at: Duration,
@@ -78,7 +81,7 @@
             replica,
             appends: BTreeMap::new(),
             raw: VecDeque::new(),
-            reading: false,
+            reading: None,
             appending: false,
             read_at: Duration::ZERO,
             append_at: Duration::ZERO,
@@ -108,9 +111,11 @@
         self.good
     }
 
-    /// Instant since which reads have been failing.
-    pub fn failing_since(&self) -> Option<Duration> {
-        self.failing_since
+    /// Instant since which the log has not answered as it should; a read that
+    /// is overdue counts before it fails.
+    pub fn failing_since(&self, now: Duration) -> Option<Duration> {
+        let overdue = self.reading.filter(|sent| *sent + READ_WAIT + READ_SLOW < now);
+        self.failing_since.or(overdue)
     }
 
     /// Queues a record; it is appended until its fate is known.
@@ -145,10 +150,10 @@
     }
 
     fn due_read(&mut self, now: Now) -> Option<Request> {
-        if self.reading || now.mono < self.read_at {
+        if self.reading.is_some() || now.mono < self.read_at {
             return None;
         }
-        self.reading = true;
+        self.reading = Some(now.mono);
         Some(Request::Read {
             from: self.replica.want(),
             wait: READ_WAIT,
@@ -176,7 +181,7 @@
 
     /// Takes a read's result in; true if the replica may have changed.
     pub fn on_read(&mut self, now: Now, sent: Duration, result: Result<Read, Error>) -> bool {
-        self.reading = false;
+        self.reading = None;
         let taken = result.ok().is_some_and(|read| self.replica.take_read(sent, &read).is_ok());
         if taken {
             self.good = Some(sent);
--- a/lib/src/maintain.rs
+++ b/lib/src/maintain.rs
@@ -383,7 +383,7 @@
         let Some(order) = &state.wave else {
             return;
         };
-        let next = order.next(&state.fleet, |pool| state.budget(pool));
+        let next = order.next(&state.fleet, &self.cfg.zone, |pool| state.budget(pool));
         let mut changes = Vec::new();
         for id in next {
             let Some(instance) = state.fleet.get(&id).filter(|it| it.zone == self.cfg.zone) else {
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -71,7 +71,7 @@
         let mut gossip = Gossip {
             next: self.journal.state().next(),
             log_age_ms: self.journal.good().map(millis),
-            log_down_ms: self.journal.failing_since().map(millis),
+            log_down_ms: self.journal.failing_since(now.mono).map(millis),
             open: self.is_open(now),
             stopping: self.life != Life::Active,
             holds: self.holds.keys().cloned().collect(),
--- a/lib/src/wave.rs
+++ b/lib/src/wave.rs
@@ -1,6 +1,6 @@
 //! Maintenance waves: every instance maintained once in a window, rack by rack.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -61,7 +61,9 @@
 
     /// Instances to ask permits for next, within what every pool's budget
     /// leaves after setting aside the loss of one more rack.
-    pub fn next<F>(&self, fleet: &Fleet, budget_of: F) -> Vec<InstanceId>
+    ///
+    /// Only instances of `zone` are named: each zone's maintainers drain their own.
+    pub fn next<F>(&self, fleet: &Fleet, zone: &str, budget_of: F) -> Vec<InstanceId>
     where
         F: Fn(&str) -> Budget,
     {
@@ -69,14 +71,17 @@
             return Vec::new();
         }
         let pools: BTreeSet<&PoolId> = fleet.iter().map(|(_, it)| &it.pool).collect();
-        let picks = pools.into_iter().map(|pool| self.next_in_pool(fleet, pool, budget_of(pool)));
+        let picks = pools.into_iter().map(|pool| self.next_in_pool(fleet, zone, pool, budget_of(pool)));
         picks.flatten().collect()
     }
 
-    fn next_in_pool(&self, fleet: &Fleet, pool: &PoolId, budget: Budget) -> Vec<InstanceId> {
+    fn next_in_pool(&self, fleet: &Fleet, zone: &str, pool: &PoolId, budget: Budget) -> Vec<InstanceId> {
         let allowed = budget.of(fleet.size(pool));
-        let room = allowed.saturating_sub(fleet.disrupted(pool));
-        let mut waiting: Vec<_> = fleet.iter().filter(|(_, it)| it.pool == *pool && self.is_waiting(it)).collect();
+        // A pool whose budget is smaller than a rack still goes on, one at a time.
+        let spared = allowed.saturating_sub(largest_rack(fleet, pool)).max(allowed.min(1));
+        let room = spared.saturating_sub(fleet.disrupted(pool));
+        let here = fleet.iter().filter(|(_, it)| it.pool == *pool && &*it.zone == zone);
+        let mut waiting: Vec<_> = here.filter(|(_, it)| self.is_waiting(it)).collect();
         // One rack at a time: a rack loss during the wave then mostly hits
         // instances that are out already.
         let open = open_racks(fleet, pool);
@@ -96,3 +101,12 @@
     let under_permit = fleet.iter().filter(|(_, it)| it.pool == *pool && it.permit.is_some());
     under_permit.map(|(_, it)| (it.zone.clone(), it.rack.clone())).collect()
 }
+
+/// Most serving instances that a pool would lose with one rack.
+fn largest_rack(fleet: &Fleet, pool: &PoolId) -> usize {
+    let mut racks: BTreeMap<(&ZoneId, &RackId), usize> = BTreeMap::new();
+    for (_, instance) in fleet.iter().filter(|(_, it)| it.pool == *pool && !it.is_disrupted()) {
+        *racks.entry((&instance.zone, &instance.rack)).or_default() += 1;
+    }
+    racks.into_values().max().unwrap_or(0)
+}
