check: seeded virtual-time runs with faults; confirmed refusals

Change: oriole-bench check drives the real entry and maintain machines, stand-ins, callers and operators on one clock with faults drawn from the seed. A refusal of a repeatable job is confirmed by every entry that may have been given it; if one has it, its outcome is waited for.

--- a/bench/src/commands.rs
+++ b/bench/src/commands.rs
@@ -1,5 +1,6 @@
 //! One file per command.
 
+mod check;
 mod standin;
 mod tour;
 
@@ -10,6 +11,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum Command {
+    Check(check::Args),
     Tour(tour::Args),
     Standin(standin::Args),
 }
@@ -18,6 +20,7 @@
     /// Runs the command.
     pub(crate) fn run(self) -> anyhow::Result<ExitCode> {
         match self {
+            Command::Check(args) => check::run(args),
             Command::Tour(args) => tour::run(args),
             Command::Standin(args) => standin::run(args),
         }
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! - [`standin`]: small stand-ins for the log, the instance list and the workers.
 //! - [`history`]: what happened, recorded for the checkers.
+//! - [`check`]: seeded runs in virtual time.
 //! - [`checker`]: one checker per promise; they read the history only.
 //! - [`tour`]: the whole path in one process.
 
+pub mod check;
 pub mod checker;
 pub mod history;
 pub mod standin;
--- a/bench/src/standin/log.rs
+++ b/bench/src/standin/log.rs
@@ -94,6 +94,11 @@
         })
     }
 
+    /// Forgets the appends of this second.
+    pub fn lift_limit(&mut self) {
+        self.in_window = 0;
+    }
+
     fn take_turn(&mut self, now: Duration) -> bool {
         const SECOND: Duration = Duration::from_secs(1);
         if self.window + SECOND <= now {
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -326,8 +326,7 @@
         self.queues.push_front(&held.job.team, held.job.class, id);
         let key = held.job.key.clone();
         if let Err(crate::key::Error::Withdrawn { offset, .. }) = self.journal.state().keys.alive(&key) {
-            let reason = crate::job::Reason::KeyWithdrawn { offset };
-            self.finish(now, id, Outcome::NotRun(reason));
+            self.refuse(now, id, crate::job::Reason::KeyWithdrawn { offset });
         }
     }
 
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -420,6 +420,8 @@
     Claiming,
     /// Stands in its team's queue.
     Queued,
+    /// Not started here; peers are asked whether they have it before it is refused.
+    Confirming(Reason),
     /// A worker has it.
     Running(Task),
     /// Another entry has it, or is being asked.
@@ -593,6 +595,7 @@
         self.list_instances(now);
         self.expire(now);
         self.settle_claims(now);
+        self.settle_refusals(now);
         self.mind_tasks(now);
         self.mind_delegations(now);
         self.mind_finds(now);
@@ -811,7 +814,7 @@
 
     pub(crate) fn status(&self) -> Status {
         match &self.phase {
-            Phase::Claiming | Phase::Queued | Phase::Delegated(_) => Status::Queued,
+            Phase::Claiming | Phase::Queued | Phase::Confirming(_) | Phase::Delegated(_) => Status::Queued,
             Phase::Running(_) => Status::Running,
             Phase::Ended(outcome) => Status::Ended(outcome.clone()),
         }
--- a/lib/src/job.rs
+++ b/lib/src/job.rs
@@ -121,6 +121,9 @@
     /// The owner of the id cannot be reached.
     #[error("the owner of this id cannot be reached")]
     OwnerUnreachable,
+    /// Another entry that may have been given the job does not answer.
+    #[error("another entry may have been given the job and cannot be asked")]
+    Elsewhere,
     /// The id is older than what entries remember, or from the future.
     #[error("the id was not minted recently")]
     Age,
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -156,15 +156,26 @@
     /// still acted upon, after it was minted. `margin` covers the time for which
     /// a member may act on an old epoch, plus the difference between clocks.
     pub fn earlier_owners(&self, id: &str, job: &JobId, mint_ms: u64, margin: Duration) -> BTreeSet<&MemberId> {
+        let owners = self.epochs_since(mint_ms, margin).filter_map(|epoch| epoch.owner(job));
+        owners.filter(|it| &***it != id).collect()
+    }
+
+    /// Other members that may have been given a job since it was minted.
+    pub fn witnesses(&self, id: &str, mint_ms: u64, margin: Duration) -> BTreeSet<&MemberId> {
+        let open = self.epochs_since(mint_ms, margin);
+        open.flat_map(|it| &it.members).filter(|it| &***it != id).collect()
+    }
+
+    /// Epochs in force, or still acted upon, at or after an instant.
+    fn epochs_since(&self, from_ms: u64, margin: Duration) -> impl Iterator<Item = &Epoch> {
         let margin_ms = margin.as_millis() as u64;
         let ends = self.epochs.iter().skip(1).map(|it| it.wall_ms).chain([u64::MAX]);
         let open = self
             .epochs
             .iter()
             .zip(ends)
-            .filter(|(_, end_ms)| mint_ms < end_ms.saturating_add(margin_ms));
-        let owners = open.filter_map(|(epoch, _)| epoch.owner(job));
-        owners.filter(|it| &***it != id).collect()
+            .filter(move |(_, end_ms)| from_ms < end_ms.saturating_add(margin_ms));
+        open.map(|(epoch, _)| epoch)
     }
 
     /// Offset of the latest change of the active members.
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -14,6 +14,9 @@
 /// Time for which peers are asked whether they have a job.
 const FIND_TIME: Duration = Duration::from_millis(400);
 
+/// Time after a deadline for another entry's report, milliseconds.
+const REPORT_GRACE_MS: u64 = 1_500;
+
 /// What to do with an id that may run once only.
 enum Verdict {
     /// This entry takes it as first.
@@ -103,7 +106,7 @@
         let (team, class) = (held.job.team.clone(), held.job.class);
         let limit = self.journal.state().tree.number(&team, setting::QUEUE_LIMIT);
         if self.queues.push(&team, class, id, limit).is_err() {
-            self.finish(now, id, Outcome::NotRun(Reason::QueueFull { team, limit }));
+            self.refuse(now, id, Reason::QueueFull { team, limit });
         }
     }
 
@@ -182,8 +185,10 @@
             return;
         };
         find.absent.insert(from.clone());
-        if self.jobs.get(&id).is_some_and(|it| it.phase == Phase::Claiming) {
-            self.claim(now, id);
+        match self.jobs.get(&id).map(|it| &it.phase) {
+            Some(Phase::Claiming) => self.claim(now, id),
+            Some(Phase::Confirming(_)) => self.confirm(now, id),
+            _ => {}
         }
     }
 
@@ -240,14 +245,14 @@
             return;
         };
         match held.phase.clone() {
-            Phase::Queued => self.finish(now, id, Outcome::NotRun(Reason::Cancelled)),
+            Phase::Queued => self.refuse(now, id, Reason::Cancelled),
             Phase::Claiming => self.finish(now, id, Outcome::Unknown(Doubt::Cancelled)),
             Phase::Running(task) => {
                 self.stop_task(task, false);
                 self.finish(now, id, Outcome::Unknown(Doubt::Cancelled));
             }
             Phase::Delegated(delegation) => self.send(&delegation.to, Message::Cancel { job: id }),
-            Phase::Ended(_) => {}
+            Phase::Confirming(_) | Phase::Ended(_) => {}
         }
     }
 
@@ -255,19 +260,23 @@
         let Some(held) = self.jobs.get(&id) else {
             return;
         };
+        let deadline_ms = held.job.deadline_ms;
         match held.phase.clone() {
-            Phase::Queued => self.finish(now, id, Outcome::NotRun(Reason::Deadline)),
+            Phase::Queued => self.refuse(now, id, Reason::Deadline),
             Phase::Claiming => self.finish(now, id, Outcome::Unknown(Doubt::OwnerUnreachable)),
             Phase::Running(task) => {
                 self.stop_task(task, false);
                 self.finish(now, id, Outcome::Unknown(Doubt::Deadline));
             }
             // The other entry ends it at the same deadline; its report is waited for a little.
+            Phase::Delegated(_) if now.wall_ms() < deadline_ms + REPORT_GRACE_MS => {
+                self.deadlines.insert((deadline_ms + REPORT_GRACE_MS, id));
+            }
             Phase::Delegated(delegation) if delegation.role == Role::Own && !delegation.acked => {
                 self.finish(now, id, Outcome::Unknown(Doubt::OwnerUnreachable));
             }
             Phase::Delegated(_) => self.finish(now, id, Outcome::Unknown(Doubt::Deadline)),
-            Phase::Ended(_) => {}
+            Phase::Confirming(_) | Phase::Ended(_) => {}
         }
     }
 
@@ -285,7 +294,59 @@
             }
         }
         for (id, offset) in ended {
-            self.finish(now, id, Outcome::NotRun(Reason::KeyWithdrawn { offset }));
+            self.refuse(now, id, Reason::KeyWithdrawn { offset });
+        }
+    }
+
+    /// Ends a job that was not started here. A caller may have given a job that
+    /// may be repeated to other entries too: "not run" is said only if none has it.
+    pub(crate) fn refuse(&mut self, now: Now, id: JobId, reason: Reason) {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if held.is_once() || held.maybe_ran || !held.origins.is_empty() {
+            self.finish(now, id, Outcome::NotRun(reason));
+            return;
+        }
+        let (team, class) = (held.job.team.clone(), held.job.class);
+        held.phase = Phase::Confirming(reason);
+        self.queues.remove(&team, class, id);
+        self.finds.remove(&id);
+        self.find(now, id, None);
+        self.confirm(now, id);
+    }
+
+    /// Ends a refused job once every entry that may have been given it has said
+    /// that it has not, or when that takes too long.
+    fn confirm(&mut self, now: Now, id: JobId) {
+        let Some(Phase::Confirming(reason)) = self.jobs.get(&id).map(|it| it.phase.clone()) else {
+            return;
+        };
+        let Some(find) = self.finds.get(&id) else {
+            return;
+        };
+        let roster = &self.journal.state().roster;
+        let margin = self.cfg.fresh_bound + 2 * self.cfg.clock_bound;
+        let mint_ms = id::mint_ms(&id).filter(|it| roster.remembered_since_ms() <= *it);
+        let certain = mint_ms.is_some_and(|mint_ms| {
+            roster
+                .witnesses(&self.cfg.id, mint_ms, margin)
+                .is_subset(&find.absent.iter().collect())
+        });
+        if certain {
+            self.finds.remove(&id);
+            self.finish(now, id, Outcome::NotRun(reason));
+        } else if find.until <= now.mono {
+            self.finds.remove(&id);
+            self.finish(now, id, Outcome::Unknown(Doubt::Elsewhere));
+        }
+    }
+
+    /// Looks again at refusals that peers have not confirmed.
+    pub(crate) fn settle_refusals(&mut self, now: Now) {
+        let ids: Vec<JobId> = self.finds.keys().copied().collect();
+        for id in ids {
+            self.confirm(now, id);
         }
     }
 
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -256,7 +256,11 @@
             }
             // An id that an earlier owner may have: it does, and this is its state.
             (Phase::Claiming, Status::Ended(outcome)) => self.finish(now, id, outcome),
-            (Phase::Claiming, _) => {
+            (Phase::Confirming(_), Status::Ended(outcome)) => self.finish(now, id, outcome),
+            (Phase::Claiming | Phase::Confirming(_), _) => {
+                if held.phase == Phase::Confirming(crate::job::Reason::Cancelled) {
+                    self.outbox.entry(from.clone()).or_default().push(Message::Cancel { job: id });
+                }
                 let delegation = crate::entry::Delegation {
                     to: from.clone(),
                     role: Role::Own,
@@ -284,6 +288,7 @@
         // A job handed to another entry as its owner was never taken here.
         let forwards = match &held.phase {
             Phase::Claiming => true,
+            Phase::Confirming(_) => !held.maybe_ran,
             Phase::Delegated(delegation) => delegation.role == Role::Own,
             _ => false,
         };
