owner: epochs end when known, refusals are always confirmed

A membership record's own time stamp was taken as the epoch's end, though an append can be under way for seconds, so a new owner took ids that the old one still took. A refusal of a job handed over by a peer was not confirmed, and a later caller of the same id was shown it.

Change: each entry uses the time at which it first knew of an epoch; every refusal of a repeatable job that was never started is confirmed.

--- a/bench/src/check.rs
+++ b/bench/src/check.rs
@@ -16,6 +16,7 @@
 
 use std::time::Duration;
 
+use oriolewall::event::Event;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -40,6 +41,8 @@
     pub faults: Vec<String>,
     /// The history, for traces.
     pub history: Vec<Entry>,
+    /// Events of all entries, for traces.
+    pub events: Vec<Event>,
 }
 
 /// Time for which load runs in a checked seed.
@@ -61,6 +64,7 @@
     world.run(LOAD_TIME + END_TIME);
     let history = world.history.entries();
     let breaches = checker::check(&history);
+    let events = if breaches.is_empty() { Vec::new() } else { world.events() };
     let report = report::Report::new(&history);
     Verdict {
         seed,
@@ -69,5 +73,6 @@
         done: report.done(),
         faults,
         history,
+        events,
     }
 }
--- a/bench/src/check/world.rs
+++ b/bench/src/check/world.rs
@@ -188,6 +188,7 @@
     queue: BinaryHeap<Reverse<Scheduled>>,
     seq: u64,
     seed: u64,
+    past_events: Vec<oriolewall::event::Event>,
     /// Appends that the log took.
     pub appends: u64,
     /// Messages between entries, and their bytes.
@@ -218,6 +219,7 @@
             queue: BinaryHeap::new(),
             seq: 0,
             seed,
+            past_events: Vec::new(),
             appends: 0,
             messages: 0,
             message_bytes: None,
@@ -408,6 +410,7 @@
     /// An incarnation ends; callers still connected to it are cut off.
     fn end_entry(&mut self, index: usize) {
         let planned = self.slots[index].stopping;
+        self.keep_events(index);
         self.slots[index].entry = None;
         self.cut_callers(index, planned);
     }
@@ -722,6 +725,7 @@
     fn begin_fault(&mut self, fault: Fault) {
         match fault.clone() {
             Fault::Kill { entry, back } => {
+                self.keep_events(entry);
                 self.slots[entry].entry = None;
                 self.slots[entry].generation += 1;
                 self.cut_callers(entry, false);
@@ -828,6 +832,20 @@
         &self.truth
     }
 
+    /// Keeps the events of an incarnation for traces.
+    fn keep_events(&mut self, index: usize) {
+        if let Some(entry) = &self.slots[index].entry {
+            self.past_events.extend(entry.events().after(0).events);
+        }
+    }
+
+    /// Events of all incarnations, in one order.
+    pub fn events(&self) -> Vec<oriolewall::event::Event> {
+        let mut events = self.past_events.clone();
+        events.extend(self.entries().flat_map(|it| it.events().after(0).events));
+        oriolewall::event::merge(events)
+    }
+
     /// All entries that run.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.slots.iter().filter_map(|it| it.entry.as_ref())
--- a/bench/src/commands/check.rs
+++ b/bench/src/commands/check.rs
@@ -4,6 +4,8 @@
 
 use argh::FromArgs;
 use oriole_bench::check::{self, Verdict};
+use oriole_daemon::timeline;
+use oriolewall::event::Event;
 
 /// Entries of the history shown with a broken promise.
 const TRACE: usize = 12;
@@ -79,5 +81,9 @@
         for entry in about.take(TRACE) {
             println!("  {} ms attempt {} {:?}", entry.at_ms, entry.attempt, entry.kind);
         }
+        let about_job = |it: &&Event| job.is_some_and(|job| timeline::line(it).contains(&job.to_string()));
+        for event in verdict.events.iter().filter(about_job).take(TRACE) {
+            println!("  {}", timeline::line(event));
+        }
     }
 }
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -135,6 +135,11 @@
         if self.holds.contains_key(&Hold::Key(held.job.key.clone())) {
             return false;
         }
+        // The key may have been withdrawn after another entry accepted the job.
+        if let Err(crate::key::Error::Withdrawn { offset, .. }) = self.journal.state().keys.alive(&held.job.key) {
+            self.refuse(now, id, crate::job::Reason::KeyWithdrawn { offset });
+            return true;
+        }
         let Some((instance, why)) = self.choose(now, held) else {
             return false;
         };
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -321,6 +321,8 @@
     pub(crate) ward: Ward,
     pub(crate) escrow: crate::escrow::Escrow,
     pub(crate) adoption: Option<Adoption>,
+    /// When this entry first knew of each membership epoch.
+    pub(crate) epochs: crate::member::Known,
     pub(crate) finds: BTreeMap<JobId, Find>,
     /// Jobs refused to peers for good; a late copy must not be taken.
     pub(crate) declined: BTreeMap<JobId, Duration>,
@@ -490,6 +492,7 @@
             ward: Ward::default(),
             escrow: crate::escrow::Escrow::default(),
             adoption: None,
+            epochs: BTreeMap::new(),
             finds: BTreeMap::new(),
             declined: BTreeMap::new(),
             holds: BTreeMap::new(),
@@ -637,6 +640,7 @@
     /// Reacts to a newer state.
     pub(crate) fn on_state(&mut self, now: Now) {
         self.collect_fates();
+        self.journal.state().roster.note(&mut self.epochs, now.wall_ms());
         self.drop_withdrawn(now);
         self.note_zone(now);
         let state = self.journal.state();
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -40,8 +40,6 @@
     Fenced {
         /// Offset of the record.
         at: Offset,
-        /// Wall clock of the record's author, milliseconds since the epoch.
-        wall_ms: u64,
     },
 }
 
@@ -50,12 +48,17 @@
 pub struct Epoch {
     /// Offset of the change.
     pub offset: Offset,
-    /// Wall clock of the change's author, milliseconds since the epoch.
-    pub wall_ms: u64,
     /// Active members.
     pub members: Vec<MemberId>,
 }
 
+/// When one instance first knew of each epoch, milliseconds since the Unix
+/// epoch by its own clock.
+///
+/// A record's own time stamp is older than its acceptance by any amount, as an
+/// append may be under way for long. The time of knowing is never before it.
+pub type Known = BTreeMap<Offset, u64>;
+
 /// All members and the recent epochs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
@@ -82,7 +85,7 @@
 
 impl Roster {
     /// Adds a new incarnation.
-    pub fn join(&mut self, offset: Offset, wall_ms: u64, id: &MemberId, zone: &ZoneId, addr: SocketAddr) -> Result<(), Error> {
+    pub fn join(&mut self, offset: Offset, id: &MemberId, zone: &ZoneId, addr: SocketAddr) -> Result<(), Error> {
         if self.members.contains_key(id) {
             return Err(Error::Joined { id: id.clone() });
         }
@@ -93,19 +96,19 @@
             phase: Phase::Active,
         };
         self.members.insert(id.clone(), member);
-        self.turn(offset, wall_ms);
+        self.turn(offset);
         Ok(())
     }
 
     /// Stops an active member; its accounts stay open until settled.
-    pub fn fence(&mut self, offset: Offset, wall_ms: u64, id: &MemberId) -> Result<(), Error> {
+    pub fn fence(&mut self, offset: Offset, id: &MemberId) -> Result<(), Error> {
         let phase_err = || Error::Phase { id: id.clone() };
         let member = self.members.get_mut(id).ok_or_else(phase_err)?;
         if member.phase != Phase::Active {
             return Err(phase_err());
         }
-        member.phase = Phase::Fenced { at: offset, wall_ms };
-        self.turn(offset, wall_ms);
+        member.phase = Phase::Fenced { at: offset };
+        self.turn(offset);
         Ok(())
     }
 
@@ -155,21 +158,22 @@
     /// Those are the owners of its id in every epoch that was in force, or
     /// still acted upon, after it was minted. `margin` covers the time for which
     /// a member may act on an old epoch, plus the difference between clocks.
-    pub fn earlier_owners(&self, id: &str, job: &JobId, mint_ms: u64, margin: Duration) -> BTreeSet<&MemberId> {
-        let owners = self.epochs_since(mint_ms, margin).filter_map(|epoch| epoch.owner(job));
+    pub fn earlier_owners(&self, id: &str, known: &Known, job: &JobId, mint_ms: u64, margin: Duration) -> BTreeSet<&MemberId> {
+        let owners = self.epochs_since(known, mint_ms, margin).filter_map(|epoch| epoch.owner(job));
         owners.filter(|it| &***it != id).collect()
     }
 
     /// Other members that may have been given a job since it was minted.
-    pub fn witnesses(&self, id: &str, mint_ms: u64, margin: Duration) -> BTreeSet<&MemberId> {
-        let open = self.epochs_since(mint_ms, margin);
+    pub fn witnesses(&self, id: &str, known: &Known, mint_ms: u64, margin: Duration) -> BTreeSet<&MemberId> {
+        let open = self.epochs_since(known, mint_ms, margin);
         open.flat_map(|it| &it.members).filter(|it| &***it != id).collect()
     }
 
     /// Epochs in force, or still acted upon, at or after an instant.
-    fn epochs_since(&self, from_ms: u64, margin: Duration) -> impl Iterator<Item = &Epoch> {
+    fn epochs_since(&self, known: &Known, from_ms: u64, margin: Duration) -> impl Iterator<Item = &Epoch> {
         let margin_ms = margin.as_millis() as u64;
-        let ends = self.epochs.iter().skip(1).map(|it| it.wall_ms).chain([u64::MAX]);
+        let ends = self.epochs.iter().skip(1).map(|it| known.get(&it.offset).copied());
+        let ends = ends.chain([None]).map(|it| it.unwrap_or(u64::MAX));
         let open = self
             .epochs
             .iter()
@@ -178,28 +182,32 @@
         open.map(|(epoch, _)| epoch)
     }
 
+    /// Notes epochs that were not known before; forgets those that are no longer kept.
+    pub fn note(&self, known: &mut Known, wall_ms: u64) {
+        for epoch in &self.epochs {
+            known.entry(epoch.offset).or_insert(wall_ms);
+        }
+        let oldest = self.epochs.first().map_or(0, |it| it.offset);
+        known.retain(|offset, _| oldest <= *offset);
+    }
+
     /// Offset of the latest change of the active members.
     pub fn epoch(&self) -> Offset {
         self.epochs.last().map_or(0, |it| it.offset)
     }
 
-    /// Wall clock of the oldest change that is remembered, milliseconds since the epoch.
-    pub fn remembered_since_ms(&self) -> u64 {
+    /// Instant before which epochs have been forgotten, milliseconds since the epoch.
+    pub fn remembered_since_ms(&self, known: &Known) -> u64 {
         if self.epochs.len() < EPOCHS_KEPT {
             return 0;
         }
-        self.epochs.first().map_or(0, |it| it.wall_ms)
+        let oldest = self.epochs.first().and_then(|it| known.get(&it.offset));
+        oldest.copied().unwrap_or(u64::MAX)
     }
 
-    fn turn(&mut self, offset: Offset, wall_ms: u64) {
-        // Clocks of authors differ; an epoch never starts before its predecessor.
-        let floor = self.epochs.last().map_or(0, |it| it.wall_ms);
+    fn turn(&mut self, offset: Offset) {
         let members = self.active().map(|(id, _)| id.clone()).collect();
-        self.epochs.push(Epoch {
-            offset,
-            wall_ms: wall_ms.max(floor),
-            members,
-        });
+        self.epochs.push(Epoch { offset, members });
         if EPOCHS_KEPT < self.epochs.len() {
             self.epochs.remove(0);
         }
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -135,7 +135,7 @@
             return Verdict::Doubt(Doubt::Age);
         };
         let oldest = now.wall_ms().saturating_sub(self.cfg.id_age.as_millis() as u64 / 2);
-        let oldest = oldest.max(self.journal.state().roster.remembered_since_ms());
+        let oldest = oldest.max(self.journal.state().roster.remembered_since_ms(&self.epochs));
         let in_time = oldest <= mint_ms && mint_ms <= now.wall_ms() + clock_bound_ms;
         if !in_time {
             return Verdict::Doubt(Doubt::Age);
@@ -152,7 +152,7 @@
             return Verdict::Forward(owner.clone());
         }
         let margin = self.cfg.fresh_bound + 2 * self.cfg.clock_bound;
-        let earlier = roster.earlier_owners(&self.cfg.id, &id, mint_ms, margin);
+        let earlier = roster.earlier_owners(&self.cfg.id, &self.epochs, &id, mint_ms, margin);
         if earlier.is_empty() {
             return Verdict::Take;
         }
@@ -304,7 +304,7 @@
         let Some(held) = self.jobs.get_mut(&id) else {
             return;
         };
-        if held.is_once() || held.maybe_ran || !held.origins.is_empty() {
+        if held.is_once() || held.maybe_ran {
             self.finish(now, id, Outcome::NotRun(reason));
             return;
         }
@@ -327,10 +327,10 @@
         };
         let roster = &self.journal.state().roster;
         let margin = self.cfg.fresh_bound + 2 * self.cfg.clock_bound;
-        let mint_ms = id::mint_ms(&id).filter(|it| roster.remembered_since_ms() <= *it);
+        let mint_ms = id::mint_ms(&id).filter(|it| roster.remembered_since_ms(&self.epochs) <= *it);
         let certain = mint_ms.is_some_and(|mint_ms| {
             roster
-                .witnesses(&self.cfg.id, mint_ms, margin)
+                .witnesses(&self.cfg.id, &self.epochs, mint_ms, margin)
                 .is_subset(&find.absent.iter().collect())
         });
         if certain {
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -247,9 +247,10 @@
             return;
         };
         match (&mut held.phase, status) {
-            (Phase::Delegated(delegation), Status::Ended(outcome)) if delegation.to == *from => {
-                self.finish(now, id, outcome);
-            }
+            (Phase::Delegated(delegation), Status::Ended(outcome)) if delegation.to == *from => match outcome {
+                Outcome::NotRun(reason) => self.refuse(now, id, reason),
+                outcome => self.finish(now, id, outcome),
+            },
             (Phase::Delegated(delegation), _) if delegation.to == *from => {
                 delegation.acked = true;
                 delegation.sent = now.mono;
@@ -285,15 +286,16 @@
             self.send(from, Message::Absent { job: id, next });
             return;
         };
-        // A job handed to another entry as its owner was never taken here.
-        let forwards = match &held.phase {
-            Phase::Claiming => true,
-            Phase::Confirming(_) => !held.maybe_ran,
-            Phase::Delegated(delegation) => delegation.role == Role::Own,
+        // A job handed to another entry was not started here, unless an earlier try was.
+        let elsewhere = match &held.phase {
+            Phase::Claiming | Phase::Confirming(_) => true,
+            Phase::Delegated(delegation) => delegation.role == Role::Own || delegation.to == *from,
             _ => false,
         };
-        if forwards {
-            self.send(from, Message::Absent { job: id, next });
+        if elsewhere {
+            if !held.maybe_ran {
+                self.send(from, Message::Absent { job: id, next });
+            }
             return;
         }
         if !held.origins.contains(from) {
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -114,7 +114,6 @@
     }
 
     fn change(&mut self, offset: Offset, record: &Record) -> Result<(), Refusal> {
-        let wall_ms = record.wall_ms;
         match &record.change {
             Change::Edit(edit) => Arc::make_mut(&mut self.tree).edit(offset, &record.author, edit)?,
             Change::KeyGrant { id, team, hash } => Arc::make_mut(&mut self.keys).grant(id, team, *hash)?,
@@ -126,8 +125,8 @@
             | Change::Advance { .. }
             | Change::Release { .. }
             | Change::Abandon { .. } => self.change_fleet(offset, record)?,
-            Change::Join { id, zone, addr } => self.roster.join(offset, wall_ms, id, zone, *addr)?,
-            Change::Fence { id } => self.roster.fence(offset, wall_ms, id)?,
+            Change::Join { id, zone, addr } => self.roster.join(offset, id, zone, *addr)?,
+            Change::Fence { id } => self.roster.fence(offset, id)?,
             Change::Settle { ids, adopter, adopted } => {
                 self.require_active(adopter)?;
                 self.roster.remove(ids)?;
