peer, dispatch: agreement that the log is down rests on answers to own questions

The pause rule that forgives silent peers had also refreshed the evidence.

Change: the answer to a pull says whether the log is down for the peer; the instant of the question counts, and nothing else. A pause only delays fencing.

--- a/lib/src/adopt.rs
+++ b/lib/src/adopt.rs
@@ -57,7 +57,7 @@
                     ..Default::default()
                 })
                 .heard;
-            if heard + self.cfg.peer_dead < now.mono {
+            if heard.max(self.timers.awake_since) + self.cfg.peer_dead < now.mono {
                 silent.push(id.clone());
             }
         }
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -26,8 +26,6 @@
 const AWAY_FIRST: Duration = Duration::from_millis(500);
 /// Longest pause after a worker could not be reached.
 const AWAY_LAST: Duration = Duration::from_secs(10);
-/// Age of gossip up to which silence of the log counts as agreed.
-const AGREEMENT_AGE: Duration = Duration::from_millis(1_000);
 /// Time for which reads must fail before the log counts as down.
 const OUTAGE_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -39,8 +37,11 @@
         seen.filter(|it| now.mono < *it + self.cfg.fresh_bound)
     }
 
-    /// While nobody can read the log nothing new is accepted: the instant up
-    /// to which every other zone has said so, with no peer ahead of us.
+    /// While nobody can read the log nothing new is accepted: the instant at
+    /// which the zone that answered longest ago was asked, if every other zone
+    /// has answered that the log is down for it and that it knows no more than
+    /// this entry. Answers are matched to questions, so that what waited in a
+    /// buffer while this process stood still proves nothing.
     fn agreed_outage(&self, now: Now) -> Option<Duration> {
         let state = self.journal.state();
         let failing = self.journal.failing_since(now.mono)?;
@@ -51,15 +52,11 @@
         self.journal.replica().fresh()?;
         let mut zones: BTreeMap<&str, Duration> = BTreeMap::new();
         for (id, member) in state.roster.active().filter(|(id, _)| **id != self.cfg.id) {
-            let Some(peer) = self.peers.get(id).filter(|it| now.mono < it.heard + AGREEMENT_AGE) else {
+            let Some(asked) = self.peers.get(id).and_then(|it| it.agreed) else {
                 continue;
             };
-            let agrees = peer.gossip.log_down_ms.is_some() && peer.gossip.next <= state.next();
-            if !agrees {
-                return None;
-            }
-            let heard = zones.entry(&member.zone).or_default();
-            *heard = peer.heard.max(*heard);
+            let latest = zones.entry(&member.zone).or_default();
+            *latest = asked.max(*latest);
         }
         let others = state.roster.active().map(|(_, it)| &*it.zone).filter(|it| *it != &*self.cfg.zone);
         let others: BTreeSet<&str> = others.collect();
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -381,6 +381,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Timers {
     pub(crate) last_tick: Duration,
+    pub(crate) awake_since: Duration,
     pub(crate) gossip_at: Duration,
     pub(crate) list_at: Duration,
     pub(crate) escrow_at: Duration,
@@ -392,6 +393,8 @@
 pub(crate) struct Peer {
     pub(crate) heard: Duration,
     pub(crate) gossip: Gossip,
+    /// When it was asked, if it answered that the log is down and it knows no more.
+    pub(crate) agreed: Option<Duration>,
 }
 
 #[derive(Debug, Default)]
@@ -609,13 +612,11 @@
         self.ask_log(now);
     }
 
-    /// After a pause of this process every peer looks silent; their clocks start anew.
+    /// After a pause of this process every peer looks silent, which proves nothing.
     fn forgive_pause(&mut self, now: Now) {
         const LONGEST_TICK: Duration = Duration::from_millis(500);
         if LONGEST_TICK < now.mono - self.timers.last_tick {
-            for peer in self.peers.values_mut() {
-                peer.heard = now.mono;
-            }
+            self.timers.awake_since = now.mono;
         }
         self.timers.last_tick = now.mono;
     }
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Now;
 use crate::entry::{Action, Entry, Life, Phase, Relay};
-use crate::id::{JobId, MemberId};
+use crate::id::{JobId, MemberId, Offset};
 use crate::job::{Doubt, Job, Outcome, Repeat, Status};
 use crate::wire::{Frame, Gossip, Hold, Message, Role, Use};
 
@@ -71,7 +71,6 @@
         let mut gossip = Gossip {
             next: self.journal.state().next(),
             log_age_ms: self.journal.good().map(millis),
-            log_down_ms: self.journal.failing_since(now.mono).map(millis),
             open: self.is_open(now),
             stopping: self.life != Life::Active,
             holds: self.holds.keys().cloned().collect(),
@@ -122,24 +121,12 @@
     fn on_message(&mut self, now: Now, from: &MemberId, message: Message) {
         match message {
             Message::Gossip(gossip) => self.on_gossip(now, from, gossip),
-            Message::Pull { nonce, from: offset } => {
-                let age_ms = self.journal.replica().age(now.mono).map(|it| it.as_millis() as u64 + 1);
-                let tail = self.journal.state().next();
-                let delta = self.journal.replica().delta(offset);
-                self.send(
-                    from,
-                    Message::Pulled {
-                        nonce,
-                        tail,
-                        age_ms,
-                        delta,
-                    },
-                );
-            }
+            Message::Pull { nonce, from: offset } => self.on_pull(now, from, nonce, offset),
             Message::Pulled {
                 nonce,
                 tail,
                 age_ms,
+                log_down,
                 delta,
             } => {
                 let Some(sent) = self.pulls.remove(&nonce) else {
@@ -150,6 +137,8 @@
                 if self.journal.replica_mut().take_delta(seen, tail, &delta).is_ok() {
                     self.on_state(now);
                 }
+                let agrees = log_down && tail <= self.journal.state().next();
+                self.peers.entry(from.clone()).or_default().agreed = agrees.then_some(sent);
             }
             Message::Assign { job, role } => self.on_assign(now, from, job, role),
             Message::Declined { job } => self.on_declined(now, from, job),
@@ -163,6 +152,20 @@
         }
     }
 
+    fn on_pull(&mut self, now: Now, from: &MemberId, nonce: u64, offset: Offset) {
+        let replica = self.journal.replica();
+        // Rounded up: a peer must not take what was seen for younger than it is.
+        let age_ms = replica.age(now.mono).map(|it| it.as_millis() as u64 + 1);
+        let pulled = Message::Pulled {
+            nonce,
+            tail: replica.state().next(),
+            age_ms,
+            log_down: self.journal.failing_since(now.mono).is_some(),
+            delta: replica.delta(offset),
+        };
+        self.send(from, pulled);
+    }
+
     fn on_gossip(&mut self, now: Now, from: &MemberId, gossip: Gossip) {
         for hold in &gossip.holds {
             self.note_hold(now, hold.clone());
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -45,6 +45,8 @@
         tail: Offset,
         /// Age of what the sender has seen when it answered, milliseconds.
         age_ms: Option<u64>,
+        /// Whether the log does not answer the sender.
+        log_down: bool,
         /// What the asker is missing.
         delta: Delta,
     },
@@ -118,8 +120,6 @@
     pub next: Offset,
     /// Age of its last good read of the log, milliseconds.
     pub log_age_ms: Option<u64>,
-    /// Time for which its reads of the log have been failing, milliseconds.
-    pub log_down_ms: Option<u64>,
     /// Whether it takes jobs to run from others.
     pub open: bool,
     /// Whether it is stopping.
