measure: scenarios with baselines side by side

Change: oriole-bench measure: share, rotation, zone-out, zone-cut, log-down, overload, wave; baselines static caps, first come first served and no peer relay in the same run.

--- a/bench/src/commands.rs
+++ b/bench/src/commands.rs
@@ -1,6 +1,7 @@
 //! One file per command.
 
 mod check;
+mod measure;
 mod standin;
 mod tour;
 
@@ -12,6 +13,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Check(check::Args),
+    Measure(measure::Args),
     Tour(tour::Args),
     Standin(standin::Args),
 }
@@ -21,6 +23,7 @@
     pub(crate) fn run(self) -> anyhow::Result<ExitCode> {
         match self {
             Command::Check(args) => check::run(args),
+            Command::Measure(args) => measure::run(args),
             Command::Tour(args) => tour::run(args),
             Command::Standin(args) => standin::run(args),
         }
