pace: no start that cannot end in time, no queueing past the deadline

Change: each entry keeps the mean measured run time per team (declared ones are far off); a job is not started when six tenths of it do not fit, and not queued when the queue turns over too slowly for it.

--- a/lib/src/adopt.rs
+++ b/lib/src/adopt.rs
@@ -148,6 +148,7 @@
             team: found.team.clone(),
             instance: instance.clone(),
             addr,
+            started: now.mono,
             start_by: now.mono,
             certain: true,
             lease_end: now.mono + self.cfg.lease + self.cfg.clock_bound,
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -137,6 +137,12 @@
             self.refuse(now, id, crate::job::Reason::KeyWithdrawn { offset });
             return true;
         }
+        // A task that cannot end in time would only take the slot from another.
+        let left = Duration::from_millis(held.job.deadline_ms.saturating_sub(now.wall_ms()));
+        if !self.pace.fits(team, left) {
+            self.refuse(now, id, crate::job::Reason::Deadline);
+            return true;
+        }
         let Some((instance, why)) = self.choose(now, held) else {
             return false;
         };
@@ -229,6 +235,7 @@
             team: held.job.team.clone(),
             instance: instance.clone(),
             addr: worker.addr,
+            started: now.mono,
             start_by,
             certain: false,
             lease_end: start_by + self.cfg.lease + self.cfg.clock_bound,
@@ -380,9 +387,11 @@
             }
             return;
         }
-        let Some(instance) = self.tasks.get(&task).map(|it| it.instance.clone()) else {
+        let Some(running) = self.tasks.get(&task) else {
             return;
         };
+        let instance = running.instance.clone();
+        self.pace.ran(&running.team, now.mono - running.started);
         self.remove_task(task);
         if answer.success {
             self.ward.succeeded(&instance);
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -319,6 +319,7 @@
     pub(crate) workers: BTreeMap<InstanceId, Worker>,
     pub(crate) presence: Option<BTreeMap<InstanceId, Presence>>,
     pub(crate) ward: Ward,
+    pub(crate) pace: crate::pace::Pace,
     pub(crate) escrow: crate::escrow::Escrow,
     pub(crate) adoption: Option<Adoption>,
     /// When this entry first knew of each membership epoch.
@@ -448,6 +449,7 @@
     pub(crate) team: TeamId,
     pub(crate) instance: InstanceId,
     pub(crate) addr: SocketAddr,
+    pub(crate) started: Duration,
     pub(crate) start_by: Duration,
     pub(crate) certain: bool,
     pub(crate) lease_end: Duration,
@@ -493,6 +495,7 @@
             workers: BTreeMap::new(),
             presence: None,
             ward: Ward::default(),
+            pace: crate::pace::Pace::default(),
             escrow: crate::escrow::Escrow::default(),
             adoption: None,
             epochs: BTreeMap::new(),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`job`]: jobs and their outcomes.
 //! - [`queue`]: bounded queues per team.
 //! - [`share`]: whose job starts next.
+//! - [`pace`]: measured run times.
 //! - [`health`]: workers that fail everything, jobs that fail everywhere.
 //! - [`entry`]: the state machine of an entry instance.
 //! - [`maintain`]: the state machine of the maintenance process.
@@ -41,6 +42,7 @@
 pub mod maintain;
 pub mod member;
 mod owner;
+pub mod pace;
 mod peer;
 pub mod platform;
 pub mod queue;
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -7,13 +7,15 @@
 use crate::entry::{Delegation, Entry, Find, Held, Life, Phase, Ticket, Wait};
 use crate::event::Kind;
 use crate::id::{self, JobId, MemberId, Offset};
-use crate::job::{Doubt, Job, Outcome, Reason, Repeat, Status};
+use crate::job::{Class, Doubt, Job, Outcome, Reason, Repeat, Status};
 use crate::setting;
 use crate::wire::{Message, Role};
 
 /// Time for which peers are asked whether they have a job.
 const FIND_TIME: Duration = Duration::from_millis(400);
 
+/// Queue length up to which no wait is predicted.
+const SHORT_QUEUE: usize = 4;
 /// Time after a deadline for another entry's report, milliseconds.
 const REPORT_GRACE_MS: u64 = 1_500;
 
@@ -105,6 +107,15 @@
         held.phase = Phase::Queued;
         let (team, class) = (held.job.team.clone(), held.job.class);
         let limit = self.journal.state().tree.number(&team, setting::QUEUE_LIMIT);
+        // A job that would wait past its deadline is refused while there is time to go elsewhere.
+        let left = Duration::from_millis(held.job.deadline_ms.saturating_sub(now.wall_ms()));
+        let ahead = self.queues.len(&team);
+        let late = self.pace.wait(&team, ahead, self.in_use(&team)).is_some_and(|wait| left < wait);
+        if late && SHORT_QUEUE < ahead && class == Class::Normal {
+            let limit = ahead as u64;
+            self.refuse(now, id, Reason::QueueFull { team, limit });
+            return;
+        }
         if self.queues.push(&team, class, id, limit).is_err() {
             self.refuse(now, id, Reason::QueueFull { team, limit });
         }
--- /dev/null
+++ b/lib/src/pace.rs
@@ -0,0 +1,40 @@
+//! Measured run times; declared ones are far off.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id::TeamId;
+
+/// Weight of the latest run in the running mean.
+const LATEST: f64 = 0.05;
+/// Part of the mean run time that must be left before a deadline to start.
+const LEAST_PART: f64 = 0.6;
+
+/// Mean run time of each team's tasks.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    means: BTreeMap<TeamId, Duration>,
+}
+
+impl Pace {
+    /// Notes a run from start to answer.
+    pub fn ran(&mut self, team: &TeamId, time: Duration) {
+        let mean = self.means.entry(team.clone()).or_insert(time);
+        *mean = mean.mul_f64(1.0 - LATEST) + time.mul_f64(LATEST);
+    }
+
+    /// Whether a task that starts now can be expected to end in the time left.
+    pub fn fits(&self, team: &str, left: Duration) -> bool {
+        self.means.get(team).is_none_or(|mean| mean.mul_f64(LEAST_PART) <= left)
+    }
+
+    /// Time until a job behind `ahead` others starts, with `running` slots
+    /// turning over; `None` if nothing is known.
+    pub fn wait(&self, team: &str, ahead: usize, running: u64) -> Option<Duration> {
+        let mean = self.means.get(team)?;
+        if running == 0 {
+            return None;
+        }
+        Some(mean.mul_f64(ahead as f64 / running as f64))
+    }
+}
