measure: slopes and waves at the target's size

Change: oriole-bench slope; the one-at-a-time baseline picks without the planner; policies run side by side.

--- a/bench/src/commands.rs
+++ b/bench/src/commands.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod measure;
+mod slope;
 mod standin;
 mod tour;
 
@@ -14,6 +15,7 @@
 pub(crate) enum Command {
     Check(check::Args),
     Measure(measure::Args),
+    Slope(slope::Args),
     Tour(tour::Args),
     Standin(standin::Args),
 }
@@ -24,6 +26,7 @@
         match self {
             Command::Check(args) => check::run(args),
             Command::Measure(args) => measure::run(args),
+            Command::Slope(args) => slope::run(args),
             Command::Tour(args) => tour::run(args),
             Command::Standin(args) => standin::run(args),
         }
--- a/bench/src/measure.rs
+++ b/bench/src/measure.rs
@@ -1,9 +1,11 @@
 //! Scenarios that give the brief's figures, each beside its baselines.
 //!
 //! - [`scenario`]: loads and faults in virtual time.
+//! - [`slope`]: state, memory, processor time and messages at several sizes.
 //! - [`wave`]: maintenance waves over fleets of several sizes.
 
 pub mod scenario;
+pub mod slope;
 pub mod wave;
 
 use serde::Serialize;
--- a/bench/src/measure/scenario.rs
+++ b/bench/src/measure/scenario.rs
@@ -68,11 +68,17 @@
         ),
     ];
     let with = |policy: Policy| run(Shape { policy, ..shape.clone() }, load, schedule.clone(), seed);
-    let product = with(own);
-    let mut baselines = serde_json::Map::new();
-    for (name, policy) in policies {
-        baselines.insert(name.to_owned(), figures(&with(policy)));
-    }
+    let (product, others) = std::thread::scope(|scope| {
+        let others: Vec<_> = policies.iter().map(|(_, policy)| scope.spawn(|| with(*policy))).collect();
+        let product = with(own);
+        let others: Vec<Outcome> = others.into_iter().filter_map(|it| it.join().ok()).collect();
+        (product, others)
+    });
+    let named = policies
+        .iter()
+        .zip(&others)
+        .map(|((name, _), outcome)| ((*name).to_owned(), figures(outcome)));
+    let baselines: serde_json::Map<String, Value> = named.collect();
     Line {
         scenario,
         seed,
--- a/bench/src/measure/wave.rs
+++ b/bench/src/measure/wave.rs
@@ -162,18 +162,27 @@
     }
 
     fn next(&self, order: &Order, planner: Planner) -> Vec<InstanceId> {
+        if planner == Planner::OneAtATime {
+            return self.one_per_pool(order);
+        }
         let per_zone = self
             .zones
             .iter()
             .map(|zone| order.next(&self.state.fleet, zone, |pool| self.state.budget(pool)));
-        let all: Vec<InstanceId> = per_zone.flatten().collect();
-        if planner == Planner::Wave {
-            return all;
-        }
-        let mut seen = std::collections::BTreeSet::new();
-        let pool = |id: &InstanceId| self.state.fleet.get(id).map(|it| it.pool.clone()).unwrap_or_default();
-        let idle = |id: &InstanceId| self.state.fleet.disrupted(&pool(id)) == 0;
-        all.into_iter().filter(|id| idle(id) && seen.insert(pool(id))).collect()
+        per_zone.flatten().collect()
+    }
+
+    /// The first instance that waits, in every pool without a disruption.
+    fn one_per_pool(&self, order: &Order) -> Vec<InstanceId> {
+        let fleet = &self.state.fleet;
+        let idle = fleet.pools().filter(|pool| fleet.disrupted(pool) == 0);
+        let first = |pool: &oriolewall::id::PoolId| {
+            fleet
+                .in_pool(pool)
+                .find(|(_, it)| it.maintained_ms < order.start_ms)
+                .map(|(id, _)| id.clone())
+        };
+        idle.filter_map(first).collect()
     }
 
     /// One when the latest grant overdrew its pool's budget.
