tests: contract tables for log, list, workers, callers; settings errors

Cause: the interfaces had been met by hand only.

Change: each adapter runs against its stand-in over loopback with fault cases in tables; the callers' interface answers bad input with the documented code and word; settings errors name file, section, key, value and what is allowed.

--- /dev/null
+++ b/bench/tests/test_contract.rs
@@ -0,0 +1,291 @@
+//! Contract tests: the adapters against the stand-ins over HTTP, and the
+//! callers' interface, with their fault cases in tables.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oriole_bench::history::History;
+use oriole_bench::standin::list::List;
+use oriole_bench::standin::log::{Mode, Store};
+use oriole_bench::standin::serve::{ListServer, LogServer, WorkerServer, bind_any};
+use oriole_bench::standin::worker::{Faults, Worker};
+use oriole_daemon::api::{Failure, KEY_HEADER};
+use oriole_daemon::client::{Call, Client};
+use oriole_daemon::node::{self, Clock, Node};
+use oriole_daemon::operator::Operator;
+use oriole_daemon::platform;
+use oriolewall::entry::Settings;
+use oriolewall::platform::{
+    Answer, Directory as _, Error, Listed, Log as _, Presence, Refused, Request, Response, Start, Task, Worker as _,
+};
+use testutils::grant_key;
+use tokio::sync::watch;
+use uuid::Uuid;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Keeps servers up until it is dropped.
+struct Up {
+    addr: SocketAddr,
+    _stop: watch::Sender<bool>,
+}
+
+async fn log_up(kept: usize) -> (LogServer, Up) {
+    let (listener, addr) = bind_any().await.unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let server = LogServer::new(Store::new(kept, 1_000), Clock::new());
+    tokio::spawn(server.clone().run(listener, stopped));
+    (server, Up { addr, _stop: stop })
+}
+
+async fn worker_up() -> (WorkerServer, Up) {
+    let (listener, addr) = bind_any().await.unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let server = WorkerServer::new(Worker::new("w1", "za", 1, History::default()), Clock::new());
+    tokio::spawn(server.clone().run(listener, stopped));
+    (server, Up { addr, _stop: stop })
+}
+
+fn task(job: u128) -> Task {
+    Task {
+        job: Uuid::from_u128(job),
+        attempt: 1,
+    }
+}
+
+fn start(job: u128, payload: &str) -> Start {
+    Start {
+        task: task(job),
+        holder: "e1".into(),
+        team: "org/a/t".into(),
+        once: true,
+        epoch: 1,
+        start_by_ms: u64::MAX,
+        lease_ms: 60_000,
+        expected_ms: 1,
+        payload: Bytes::copy_from_slice(payload.as_bytes()),
+    }
+}
+
+#[tokio::test]
+async fn the_log_gives_offsets_keeps_the_latest_and_says_when_it_is_down() {
+    let (server, up) = log_up(2).await;
+    let log = platform::Log::new(Client::new(), up.addr);
+    for (offset, text) in ["a", "b", "c"].iter().enumerate() {
+        assert_eq!(log.append(Bytes::from_static(text.as_bytes())).await, Ok(offset as u64));
+    }
+    let read = log.read(0, Duration::ZERO).await.unwrap();
+    assert_eq!((read.first, read.tail, read.from, read.entries.len()), (1, 3, 1, 2));
+    server.store.lock().unwrap().mode = Mode::Down;
+    assert_eq!(log.append(Bytes::from_static(b"d")).await, Err(Error::Unavailable));
+    assert_eq!(log.read(0, Duration::ZERO).await, Err(Error::Unavailable));
+    server.store.lock().unwrap().mode = Mode::Slow { ms: 30 };
+    assert_eq!(log.append(Bytes::from_static(b"d")).await, Ok(3));
+}
+
+#[test]
+fn an_append_whose_answer_is_lost_has_taken_effect() {
+    let mut store = Store::new(10, 10);
+    store.mode = Mode::LoseAnswers;
+    assert_eq!(store.append(Duration::ZERO, Bytes::from_static(b"a")), Err(Error::Lost));
+    assert_eq!(store.tail(), 1);
+    store.mode = Mode::Up;
+    let results: Vec<_> = (0..12).map(|_| store.append(Duration::ZERO, Bytes::new()).is_ok()).collect();
+    assert_eq!(results.iter().filter(|it| **it).count(), 9, "ten appends a second");
+}
+
+#[tokio::test]
+async fn nothing_listening_means_certainly_not_delivered() {
+    let (_, addr) = bind_any().await.unwrap();
+    let worker = platform::Worker::new(Client::new());
+    assert_eq!(worker.call(addr, Request::List).await, Err(Error::Undelivered));
+}
+
+#[test]
+fn the_list_lags() {
+    let second = Duration::from_secs(1);
+    let mut list = List::new(second);
+    list.change(Duration::ZERO, "w1", Some(Presence::Live));
+    assert_eq!(list.read(second / 2), []);
+    assert_eq!(
+        list.read(second),
+        [Listed {
+            id: "w1".into(),
+            presence: Presence::Live
+        }]
+    );
+    list.change(second, "w1", None);
+    assert_eq!(list.read(second * 3 / 2).len(), 1);
+    assert_eq!(list.read(second * 2), []);
+}
+
+#[tokio::test]
+async fn the_list_is_read_over_http() {
+    let (listener, addr) = bind_any().await.unwrap();
+    let (_stop, stopped) = watch::channel(false);
+    let server = ListServer::new(List::new(Duration::ZERO), Clock::new());
+    server.change("w1", Some(Presence::Leaving));
+    tokio::spawn(server.run(listener, stopped));
+    let list = platform::Directory::new(Client::new(), addr).list().await;
+    assert_eq!(
+        list,
+        Ok(vec![Listed {
+            id: "w1".into(),
+            presence: Presence::Leaving
+        }])
+    );
+}
+
+#[tokio::test]
+async fn a_worker_runs_refuses_and_answers_as_the_table_says() {
+    let (server, up) = worker_up().await;
+    let worker = platform::Worker::new(Client::new());
+    let wait = |job| Request::Wait {
+        task: task(job),
+        wait_ms: 5_000,
+    };
+    let adopt = |from: &str| Request::Adopt {
+        task: task(2),
+        from: from.into(),
+        to: "e2".into(),
+        lease_ms: 60_000,
+    };
+    let renew = |holder: &str| Request::Renew {
+        task: task(2),
+        holder: holder.into(),
+        lease_ms: 60_000,
+    };
+    let whole = Answer {
+        task: task(1),
+        success: true,
+        length: 46,
+        body: Bytes::from(format!("answer of {}", task(1).job)),
+    };
+    let table = [
+        (
+            Request::Start(Start {
+                start_by_ms: 0,
+                ..start(1, "ms:1")
+            }),
+            Response::Refused(Refused::Late),
+        ),
+        (Request::Start(start(1, "ms:1")), Response::Started),
+        (wait(1), Response::Answer(whole)),
+        (Request::Start(start(1, "ms:1")), Response::Refused(Refused::Known)),
+        (Request::Start(start(2, "ms:600000")), Response::Started),
+        (Request::Start(start(3, "ms:1")), Response::Refused(Refused::Full)),
+        (Request::Reboot, Response::Refused(Refused::Full)),
+        (renew("e9"), Response::Unknown),
+        (renew("e1"), Response::Ok),
+        (adopt("e9"), Response::Unknown),
+        (adopt("e1"), Response::Ok),
+        (renew("e1"), Response::Unknown),
+        (
+            Request::Stop {
+                task: task(2),
+                checkpoint: true,
+            },
+            Response::Ok,
+        ),
+        (wait(2), Response::Unknown),
+    ];
+    for (request, expected) in table {
+        assert_eq!(worker.call(up.addr, request.clone()).await, Ok(expected), "{request:?}");
+    }
+    server.set_faults(Faults {
+        leaving: true,
+        ..Faults::default()
+    });
+    assert_eq!(
+        worker.call(up.addr, Request::Start(start(4, "ms:1"))).await,
+        Ok(Response::Refused(Refused::Leaving))
+    );
+    server.set_faults(Faults {
+        cut_answers: true,
+        ..Faults::default()
+    });
+    let cut = worker.call(up.addr, wait(1)).await;
+    assert!(matches!(cut, Ok(Response::Answer(answer)) if answer.length != answer.body.len() as u64));
+}
+
+#[tokio::test]
+async fn callers_get_a_clear_error_for_bad_input_and_an_answer_for_good_input() {
+    let (_log, log) = log_up(1_000).await;
+    let (_worker, worker) = worker_up().await;
+    let (listener, addr) = bind_any().await.unwrap();
+    let (list_listener, list_addr) = bind_any().await.unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let list = ListServer::new(List::new(Duration::ZERO), Clock::new());
+    list.change("w1", Some(Presence::Live));
+    tokio::spawn(list.run(list_listener, stopped.clone()));
+    let settings = Settings::builder("e1", "za", addr).stop_grace(Duration::from_millis(100)).build();
+    let node = Node {
+        settings,
+        log: log.addr,
+        list: list_addr,
+        body_bytes: 1_024,
+        connections: 64,
+        peers: Vec::new(),
+    };
+    let running = tokio::spawn(node::run(node, listener, stopped));
+    let operator = Operator::new(log.addr, vec![addr], "test");
+    for change in [
+        testutils::set("org/a/t", "cap", "4"),
+        grant_key("k1", "org/a/t"),
+        oriolewall::record::Change::InstanceAdd {
+            id: "w1".into(),
+            zone: "za".into(),
+            rack: "r1".into(),
+            pool: "shared".into(),
+            addr: worker.addr,
+            slots: 1,
+        },
+    ] {
+        operator.change(change).await.unwrap();
+    }
+    let client = Client::new();
+    ready(&client, addr).await;
+    let job = Uuid::now_v7();
+    let good = format!(r#"{{"id":"{job}","repeat":"forbidden","wait_ms":20000,"payload":"ms:1"}}"#);
+    let odd = good.replace(&job.to_string(), "00000000-0000-4000-8000-000000000000");
+    let large = format!(r#"{{"payload":"{}"}}"#, "x".repeat(2_000));
+    let table = [
+        (None, good.as_str(), 401, "no_key"),
+        (Some("k1.wrong"), &good, 401, "unknown_key"),
+        (Some("k1.k1"), "{bad", 400, "bad_request"),
+        (Some("k1.k1"), r#"{"id":1}"#, 400, "bad_request"),
+        (Some("k1.k1"), &odd, 400, "bad_id"),
+        (Some("k1.k1"), &large, 413, "too_large"),
+    ];
+    for (key, body, code, word) in table {
+        let mut call = Call::post(addr, "/v1/jobs", Bytes::from(body.to_owned()), PATIENCE);
+        if let Some(key) = key {
+            call = call.header(KEY_HEADER, key);
+        }
+        let response = client.call(call).await.unwrap();
+        let failure: Failure = serde_json::from_slice(&response.body).unwrap();
+        assert_eq!((response.status.as_u16(), failure.error.as_str()), (code, word), "{body}");
+    }
+    let call = Call::post(addr, "/v1/jobs", Bytes::from(good), Duration::from_secs(30)).header(KEY_HEADER, "k1.k1");
+    let response = client.call(call).await.unwrap();
+    let view: oriole_daemon::api::JobView = serde_json::from_slice(&response.body).unwrap();
+    assert_eq!((response.status.as_u16(), view.state.as_str()), (200, "done"));
+    assert_eq!(view.answer, Some(format!("answer of {job}")));
+    let unknown = Call::get(addr, format!("/v1/jobs/{}", Uuid::now_v7()), PATIENCE).header(KEY_HEADER, "k1.k1");
+    assert_eq!(client.call(unknown).await.unwrap().status.as_u16(), 404);
+    stop.send(true).unwrap();
+    running.await.unwrap();
+}
+
+/// Waits until an entry takes jobs and knows the keys.
+async fn ready(client: &Client, addr: SocketAddr) {
+    for _ in 0..500 {
+        let call = Call::post(addr, "/v1/ids", Bytes::new(), PATIENCE).header(KEY_HEADER, "k1.k1");
+        if client.call(call).await.is_ok_and(|it| it.status.as_u16() == 200) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the entry did not become ready");
+}
--- /dev/null
+++ b/daemon/tests/test_settings.rs
@@ -0,0 +1,49 @@
+//! Settings files: a bad one is refused with file, section, key, value and what is allowed.
+
+use oriole_daemon::settings::{ENTRY, MAINTAIN, Settings};
+
+const GOOD: &str = "[entry]\nname = e1\nzone = za\nlisten = 127.0.0.1:1\n[platform]\nlog = 127.0.0.1:2\nlist = 127.0.0.1:3\n";
+
+#[test]
+fn defaults_fill_what_a_file_leaves_out() {
+    let settings = Settings::parse("e.ini", GOOD, ENTRY).unwrap();
+    assert_eq!(settings.number("bounds", "lease_ms"), 6_000);
+    assert_eq!(settings.text("entry", "zone"), "za");
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    let cases = [
+        (
+            GOOD.replace("zone = za\n", ""),
+            "e.ini: [entry] zone: required, must be a name of letters, digits, '-', '_' and '.'",
+        ),
+        (
+            GOOD.replace("127.0.0.1:2", "localhost"),
+            "e.ini: [platform] log = \"localhost\": must be an IP address and port, such as 127.0.0.1:7001",
+        ),
+        (
+            format!("{GOOD}[bounds]\nlease_ms = 5\n"),
+            "e.ini: [bounds] lease_ms = \"5\": must be a whole number from 2000 to 600000",
+        ),
+        (
+            format!("{GOOD}[limits]\nbody = 5\n"),
+            "e.ini: [limits] body: unknown setting; known here: body_bytes, connections",
+        ),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(Settings::parse("e.ini", &text, ENTRY).unwrap_err().to_string(), expected);
+    }
+}
+
+#[test]
+fn the_example_files_are_accepted() {
+    for (text, specs) in [
+        (include_str!("../../examples/entry-za-e1.ini"), ENTRY),
+        (include_str!("../../examples/entry-za-e2.ini"), ENTRY),
+        (include_str!("../../examples/maintain-za.ini"), MAINTAIN),
+        (include_str!("../../examples/client.ini"), oriole_daemon::settings::CLIENT),
+    ] {
+        assert!(Settings::parse("example", text, specs).is_ok());
+    }
+}
