pace, escrow: shorter queues under overload; work above a lowered cap is shed

Cause: at five times capacity jobs still queued past what could run, and a team with nothing running was admitted without bound. over_cap stood in the tree and nothing acted on it.

Change: a job may be expected to queue for half its time; a team that runs nothing counts as one slot. over_cap stop or checkpoint ends the latest repeatable tasks above the fair part of a lowered cap.

--- a/bench/src/check/world/operators.rs
+++ b/bench/src/check/world/operators.rs
@@ -45,6 +45,7 @@
     /// Writes the tree before anything runs.
     pub(super) fn set_up(&mut self, changes: &mut Vec<Change>, load: &Load, shape: &Shape) {
         changes.push(set("", setting::BUDGET, &shape.budget));
+        changes.push(set("org/utility/soak", setting::OVER_CAP, "checkpoint"));
         for team in &load.teams {
             self.teams.push(team.path.clone());
             changes.push(set(&team.path, setting::CAP, &team.cap.to_string()));
--- a/bench/src/measure/scenario.rs
+++ b/bench/src/measure/scenario.rs
@@ -291,6 +291,8 @@
             "done": outcome.report.done(),
             "not_run": refused.len(),
             "unknown": outcome.report.count("unknown"),
+            "refusal_p50_ms": percentile(&refused, 0.5),
+            "refusal_p90_ms": percentile(&refused, 0.9),
             "refusal_p99_ms": percentile(&refused, 0.99),
         })
     })
--- a/bench/tests/test_check.rs
+++ b/bench/tests/test_check.rs
@@ -4,6 +4,7 @@
 
 use oriole_bench::check::fault::{Fault, Place, Schedule};
 use oriole_bench::check::{self, Verdict};
+use oriole_bench::history::{Entry, Kind};
 use oriole_bench::standin::log::Mode;
 
 /// Seeds that run in every test.
@@ -148,3 +149,17 @@
     let stops = (0..6).map(|entry| (ms(4_000 + 4_000 * entry as u64), Fault::Stop { entry }));
     assert_whole(&check::run_with(77, Schedule::of(stops.collect())));
 }
+
+/// Long repeatable tasks above a lowered cap are stopped where the tree says so.
+#[test]
+fn a_lowered_cap_sheds_what_may_be_repeated() {
+    const SOAK: usize = 1;
+    let cut_short = |schedule: Schedule| {
+        let verdict = check::run_with(5, schedule);
+        assert!(verdict.breaches.is_empty(), "{:?}", verdict.breaches);
+        let stopped = |it: &&Entry| it.kind == Kind::End { whole: false } && (10_000..12_000).contains(&it.at_ms);
+        verdict.history.iter().filter(stopped).count()
+    };
+    let lowered = Schedule::of(vec![(ms(10_000), Fault::Cap { team: SOAK, slots: 0 })]);
+    assert!(cut_short(Schedule::none()) < cut_short(lowered));
+}
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -461,7 +461,7 @@
     }
 
     /// A try is lost: repeats the job if it may be, else says so.
-    fn give_up_try(&mut self, now: Now, id: JobId, doubt: Doubt) {
+    pub(crate) fn give_up_try(&mut self, now: Now, id: JobId, doubt: Doubt) {
         let Some(held) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/lib/src/escrow.rs
+++ b/lib/src/escrow.rs
@@ -116,6 +116,33 @@
         for (team, slots) in excess {
             self.transfer(now, team, None, slots);
         }
+        self.shed_excess(now);
+    }
+
+    /// Does with tasks above the fair part of a lowered cap what the tree says.
+    /// Jobs that may not be repeated go on to their end in any case.
+    fn shed_excess(&mut self, now: Now) {
+        let state = self.journal.state();
+        let mut shed = Vec::new();
+        for (team, used) in self.escrow.teams() {
+            let cap = state.cap(team);
+            let how = state.tree.get(team, setting::OVER_CAP);
+            if state.ledger.total(team) <= cap || how == "wait" {
+                continue;
+            }
+            let over = used.saturating_sub(state.ledger.fair(team, &self.cfg.id, cap));
+            let running = self.tasks.iter().filter(|(_, it)| it.team == *team && !it.ghost);
+            let repeatable = running.filter(|(task, _)| self.jobs.get(&task.job).is_some_and(|it| !it.is_once()));
+            let latest = repeatable.map(|(task, it)| (std::cmp::Reverse(it.started), *task));
+            let mut latest: Vec<_> = latest.collect();
+            latest.sort_unstable();
+            let picked = latest.into_iter().take(over as usize).map(|(_, task)| (task, how == "checkpoint"));
+            shed.extend(picked);
+        }
+        for (task, checkpoint) in shed {
+            self.stop_task(task, checkpoint);
+            self.give_up_try(now, task.job, crate::job::Doubt::OverCap);
+        }
     }
 
     fn ask(&mut self, now: Now) {
--- a/lib/src/job.rs
+++ b/lib/src/job.rs
@@ -115,6 +115,9 @@
     /// Cancelled while it ran.
     #[error("cancelled while the task ran")]
     Cancelled,
+    /// The task was stopped because the team's cap was lowered.
+    #[error("the task was stopped after the team's cap was lowered")]
+    OverCap,
     /// An earlier owner of the id may have taken it.
     #[error("an earlier owner of this id may have run it")]
     EarlierOwner,
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -14,6 +14,8 @@
 /// Time for which peers are asked whether they have a job.
 const FIND_TIME: Duration = Duration::from_millis(400);
 
+/// Part of the time to its deadline that a job may be expected to queue.
+const QUEUE_PART: f64 = 0.5;
 /// Queue length up to which no wait is predicted.
 const SHORT_QUEUE: usize = 4;
 /// Time after a deadline for another entry's report, milliseconds.
@@ -110,7 +112,10 @@
         // A job that would wait past its deadline is refused while there is time to go elsewhere.
         let left = Duration::from_millis(held.job.deadline_ms.saturating_sub(now.wall_ms()));
         let ahead = self.queues.len(&team);
-        let late = self.pace.wait(&team, ahead, self.in_use(&team)).is_some_and(|wait| left < wait);
+        let late = self
+            .pace
+            .wait(&team, ahead, self.in_use(&team))
+            .is_some_and(|wait| left.mul_f64(QUEUE_PART) < wait);
         if late && SHORT_QUEUE < ahead && class == Class::Normal {
             let limit = ahead as u64;
             self.refuse(now, id, Reason::QueueFull { team, limit });
--- a/lib/src/pace.rs
+++ b/lib/src/pace.rs
@@ -32,9 +32,6 @@
     /// turning over; `None` if nothing is known.
     pub fn wait(&self, team: &str, ahead: usize, running: u64) -> Option<Duration> {
         let mean = self.means.get(team)?;
-        if running == 0 {
-            return None;
-        }
-        Some(mean.mul_f64(ahead as f64 / running as f64))
+        Some(mean.mul_f64(ahead as f64 / running.max(1) as f64))
     }
 }
