--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod adopt;
 pub mod clock;
+mod config;
 mod dispatch;
 pub mod entry;
 mod escrow;
