peer: a hold keeps its age when entries pass it on

Cause: read in review: a hold from gossip was noted as new, so entries could renew each other's for ever when its record never came. The check whether a hold is recorded stood twice.

Change: gossip carries the age of a hold; one is_in_force serves taking over and expiry; an unused message and two unused parameters are gone.

Measured: the nine tests of test_check pass, the new one sends a hold without a record. That test was not run on the code before, and the rest of the workspace's tests not after.

--- a/bench/src/check/fault.rs
+++ b/bench/src/check/fault.rs
@@ -78,6 +78,11 @@
         /// For how long.
         time: Duration,
     },
+    /// Operators restrict a zone directly and their record never follows.
+    Restrict {
+        /// Index of the zone.
+        zone: usize,
+    },
     /// Operators withdraw a key.
     Withdraw {
         /// Index of the team.
--- a/bench/src/check/world.rs
+++ b/bench/src/check/world.rs
@@ -762,7 +762,12 @@
                 self.push(self.now + time, Due::EndFault(fault));
             }
             Fault::Depart { worker, time } => self.begin_departure(worker, time, fault),
-            Fault::ZoneOut { .. } | Fault::Withdraw { .. } | Fault::Cap { .. } | Fault::Drain { .. } | Fault::Move { .. } => {
+            Fault::ZoneOut { .. }
+            | Fault::Restrict { .. }
+            | Fault::Withdraw { .. }
+            | Fault::Cap { .. }
+            | Fault::Drain { .. }
+            | Fault::Move { .. } => {
                 self.begin_operation(&fault);
             }
         }
--- a/bench/src/check/world/operators.rs
+++ b/bench/src/check/world/operators.rs
@@ -112,6 +112,7 @@
                 let back = set(&zone_path(&name), setting::STATE, "in");
                 self.push(self.now + *time, Due::Operator(Step::Propose(back)));
             }
+            Fault::Restrict { zone } => self.hold(&Hold::Zone(zone_name(*zone).as_str().into())),
             Fault::Withdraw { team } => {
                 let id = key_id(&self.load.teams[*team].path, 0);
                 self.hold(&Hold::Key(id.as_str().into()));
--- a/bench/tests/test_check.rs
+++ b/bench/tests/test_check.rs
@@ -163,3 +163,16 @@
     let lowered = Schedule::of(vec![(ms(10_000), Fault::Cap { team: SOAK, slots: 0 })]);
     assert!(cut_short(Schedule::none()) < cut_short(lowered));
 }
+
+/// A restriction whose record never follows ends, though entries pass it on.
+#[test]
+fn a_restriction_without_its_record_ends() {
+    let verdict = check::run_with(6, Schedule::of(vec![(ms(5_000), Fault::Restrict { zone: 1 })]));
+    assert_whole(&verdict);
+    let starts = |from, to| {
+        let here = |it: &&Entry| matches!(&it.kind, Kind::Start { zone, .. } if zone == "z1") && (from..to).contains(&it.at_ms);
+        verdict.history.iter().filter(here).count()
+    };
+    assert_eq!(starts(5_100, 14_000), 0);
+    assert!(0 < starts(17_000, 30_000));
+}
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -370,7 +370,7 @@
             Event::Stop => self.on_stop(now),
         }
         self.place(now);
-        self.flush(now);
+        self.flush();
         std::mem::take(&mut self.actions)
     }
 
@@ -570,14 +570,21 @@
 
     /// A hold ends when the log shows the record, or long after it should have.
     fn expire_holds(&mut self) {
+        let ended = self.holds.iter().filter(|(hold, since)| !self.is_in_force(hold, **since));
+        let ended: Vec<Hold> = ended.map(|(hold, _)| hold.clone()).collect();
+        self.holds.retain(|hold, _| !ended.contains(hold));
+    }
+
+    /// Whether a hold sent at an instant still waits for its record.
+    pub(crate) fn is_in_force(&self, hold: &Hold, since: Duration) -> bool {
         const GIVE_UP_AFTER: Duration = Duration::from_secs(10);
         let state = self.journal.state();
-        let fresh = self.journal.replica().fresh().unwrap_or_default();
-        let recorded = |hold: &Hold| match hold {
+        let recorded = match hold {
             Hold::Zone(zone) => state.tree.get(&crate::state::zone_path(zone), setting::STATE) == "out",
             Hold::Key(key) => state.keys.alive(key).is_err(),
         };
-        self.holds.retain(|hold, since| !recorded(hold) && fresh < *since + GIVE_UP_AFTER);
+        let fresh = self.journal.replica().fresh().unwrap_or_default();
+        !recorded && fresh < since + GIVE_UP_AFTER
     }
 
     /// Ends a job and tells everyone who waits for it.
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -6,7 +6,7 @@
 use crate::entry::{Action, Entry, Life, Phase, Relay};
 use crate::id::{JobId, MemberId, Offset};
 use crate::job::{Doubt, Job, Outcome, Repeat, Status};
-use crate::wire::{Frame, Gossip, Hold, Message, Role, Use};
+use crate::wire::{Frame, Gossip, Message, Restriction, Role, Use};
 
 /// Age of knowledge above which a replica asks peers.
 const PULL_AFTER: Duration = Duration::from_millis(600);
@@ -27,7 +27,7 @@
         self.outbox.entry(to.clone()).or_default().push(message);
     }
 
-    pub(crate) fn flush(&mut self, _now: Now) {
+    pub(crate) fn flush(&mut self) {
         let outbox = std::mem::take(&mut self.outbox);
         for (to, messages) in outbox {
             let Some(member) = self.journal.state().roster.get(&to) else {
@@ -73,7 +73,14 @@
             log_age_ms: self.journal.good().map(millis),
             open: self.is_open(now),
             stopping: self.life != Life::Active,
-            holds: self.holds.keys().cloned().collect(),
+            holds: self
+                .holds
+                .iter()
+                .map(|(hold, since)| Restriction {
+                    hold: hold.clone(),
+                    age_ms: millis(*since),
+                })
+                .collect(),
             ..Gossip::default()
         };
         for (team, queued) in self.queues.lengths() {
@@ -148,7 +155,6 @@
             Message::Absent { job, next } => self.on_absent(now, from, job, next),
             Message::Cancel { job } if self.jobs.contains_key(&job) => self.on_cancel(now, job),
             Message::Cancel { .. } => {}
-            Message::Hold(hold) => self.note_hold(now, hold),
         }
     }
 
@@ -177,14 +183,11 @@
         self.peers.entry(from.clone()).or_default().gossip = gossip;
     }
 
-    fn note_hold(&mut self, now: Now, hold: Hold) {
-        let state = self.journal.state();
-        let recorded = match &hold {
-            Hold::Zone(zone) => state.tree.get(&crate::state::zone_path(zone), crate::setting::STATE) == "out",
-            Hold::Key(key) => state.keys.alive(key).is_err(),
-        };
-        if !recorded {
-            self.holds.entry(hold).or_insert(now.mono);
+    /// Takes a hold over from a peer, unless it is recorded or over by now.
+    fn note_hold(&mut self, now: Now, restriction: Restriction) {
+        let since = now.mono.saturating_sub(Duration::from_millis(restriction.age_ms));
+        if self.is_in_force(&restriction.hold, since) {
+            self.holds.entry(restriction.hold).or_insert(since);
         }
     }
 
@@ -324,7 +327,7 @@
         for id in delegated {
             self.mind_delegation(now, id);
         }
-        self.repeat_reports(now);
+        self.repeat_reports();
         self.hand_out(now);
     }
 
@@ -380,14 +383,13 @@
         self.requeue(now, id);
     }
 
-    fn repeat_reports(&mut self, now: Now) {
+    fn repeat_reports(&mut self) {
         let roster = &self.journal.state().roster;
         let mut reports = Vec::new();
         for (id, held) in self.jobs.iter_mut().filter(|(_, it)| it.phase.is_over()) {
             held.origins.retain(|it| roster.get(it).is_some());
             reports.extend(held.origins.iter().map(|it| (it.clone(), *id, held.status())));
         }
-        let _ = now;
         for (to, job, status) in reports {
             self.send(&to, Message::Report { job, status });
         }
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -91,8 +91,6 @@
         /// The job.
         job: JobId,
     },
-    /// A restriction that an operator sent to entries directly.
-    Hold(Hold),
 }
 
 /// What the receiver of a job is asked to be.
@@ -113,6 +111,15 @@
     Key(KeyId),
 }
 
+/// A hold with its age, so that passing it on does not make it younger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Restriction {
+    /// The hold.
+    pub hold: Hold,
+    /// Time since an operator sent it, milliseconds.
+    pub age_ms: u64,
+}
+
 /// What a member tells the others several times a second.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gossip {
@@ -129,7 +136,7 @@
     /// Tasks of the sender by worker; only for members of its zone.
     pub workers: BTreeMap<InstanceId, u32>,
     /// Restrictions received from operators.
-    pub holds: Vec<Hold>,
+    pub holds: Vec<Restriction>,
 }
 
 /// One team's use of one entry.
