--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`shutdown`]: the signal to stop.
 //! - [`logging`]: JSON lines.
 //! - [`client`]: HTTP calls with a timeout.
+//! - [`lane`]: calls to one server over few kept connections.
 //! - [`server`]: HTTP service with limits and graceful shutdown.
 //! - [`platform`]: adapters for the log, the instance list and the workers.
 //! - [`node`]: runs an entry instance.
@@ -18,6 +19,7 @@
 pub mod api;
 pub mod client;
 pub mod keeper;
+pub mod lane;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- /dev/null
+++ b/fleet/src/clock.rs
@@ -0,0 +1,15 @@
+//! Readings of the clocks that decisions use.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use oriolewall::clock::Now;
+use rustix::time::{ClockId, clock_gettime};
+
+/// Reads both clocks. The monotonic one goes on while the machine is suspended.
+pub(crate) fn now() -> Now {
+    let mono = clock_gettime(ClockId::Boottime);
+    Now {
+        mono: Duration::new(mono.tv_sec.max(0) as u64, mono.tv_nsec.max(0) as u32),
+        wall: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/fleet/src/front.rs
@@ -0,0 +1,248 @@
+//! Callers' requests: submit, ask, cancel, count.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HOST, HeaderValue, RETRY_AFTER};
+use hyper::{Method, Request, StatusCode};
+use oriole_platform::caller;
+use oriolewall::catalog::{Catalog, Queue};
+use oriolewall::durable::{self, Id, Submission};
+use oriolewall::exchange::{Call, PartId, Reply};
+use oriolewall::id::TeamId;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::node::Node;
+use crate::serve::{self, Answer};
+use crate::{clock, peer};
+
+/// Longest body of a request, bytes; the platform's own limit.
+const BODY_LIMIT: usize = 262_144;
+/// Time for a request without a deadline of its own.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+/// Part of the deadline that is left for the answer's way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Time for one try to append a request.
+const APPEND_TRY: Duration = Duration::from_millis(800);
+/// Time for tries to find a way to the log, while nothing has been sent.
+/// A quarter of the tightest objective is 150 ms.
+const REFUSE_AFTER: Duration = Duration::from_millis(120);
+/// Pause between two tries.
+const PAUSE: Duration = Duration::from_millis(30);
+/// When to come back after a refusal, seconds.
+const COME_BACK: &str = "1";
+/// Header with the time for which a caller waits, milliseconds.
+const DEADLINE: &str = "x-deadline-ms";
+
+/// A call on a queue.
+#[derive(Clone, Debug)]
+struct Target {
+    queue: Arc<Queue>,
+    team: TeamId,
+    deadline: Instant,
+}
+
+/// Answers a caller.
+pub(crate) async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Answer {
+    let _open = node.open_request();
+    let started = clock::now().mono;
+    let catalog = node.catalog.load_full();
+    let path = request.uri().path().to_owned();
+    let (call, id, answer) = match target(&catalog, &request, &path) {
+        Err(answer) => ("none", Id::from(""), answer),
+        Ok(target) => {
+            let id = Id::from(&path[target.queue.prefix.len()..]);
+            let (call, answer) = dispatch(node, request, &target, &id).await;
+            (call, id, answer)
+        }
+    };
+    let took = clock::now().mono.saturating_sub(started);
+    node.metrics.count(call, answer.status(), took);
+    // Answered questions on a job's state change nothing and are not logged.
+    if call != "status" && call != "pending" || answer.status() != StatusCode::OK {
+        node.decisions.line(
+            "request",
+            json!({
+                "call": call,
+                "job": id,
+                "path": path,
+                "status": answer.status().as_u16(),
+                "config": catalog.version,
+                "took_ms": took.as_millis() as u64,
+            }),
+        );
+    }
+    answer
+}
+
+/// Finds the queue and the caller's team.
+fn target(catalog: &Catalog, request: &Request<Incoming>, path: &str) -> Result<Target, Answer> {
+    if catalog.version == 0 {
+        return Err(refuse("no configuration yet"));
+    }
+    let host = request.headers().get(HOST).and_then(|it| it.to_str().ok());
+    let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+    let Some(queue) = catalog.route(host, path) else {
+        return Err(error(StatusCode::NOT_FOUND, "there is no such queue"));
+    };
+    let key = request.headers().get(AUTHORIZATION).and_then(|it| it.to_str().ok());
+    let key = key.and_then(|it| it.strip_prefix("Bearer ")).map(str::trim);
+    let team = key.and_then(|it| catalog.keys.get(it));
+    let team = match (team, queue.open) {
+        (Some(team), _) => team.clone(),
+        (None, true) => TeamId::from(""),
+        (None, false) => return Err(error(StatusCode::UNAUTHORIZED, "the key is not known")),
+    };
+    let deadline = request.headers().get(DEADLINE).and_then(|it| it.to_str().ok());
+    let deadline = deadline.and_then(|it| it.parse().ok()).map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    Ok(Target {
+        queue: queue.clone(),
+        team,
+        deadline: Instant::now() + deadline.saturating_sub(ANSWER_MARGIN),
+    })
+}
+
+async fn dispatch(node: &Arc<Node>, request: Request<Incoming>, target: &Target, id: &Id) -> (&'static str, Answer) {
+    let method = request.method().clone();
+    if id.is_empty() {
+        return match method {
+            Method::GET => ("pending", pending(node, target).await),
+            _ => ("none", error(StatusCode::METHOD_NOT_ALLOWED, "a queue can only be read")),
+        };
+    }
+    if !is_id(id) {
+        return ("none", error(StatusCode::NOT_FOUND, "a job's id has 16 hexadecimal digits"));
+    }
+    match method {
+        Method::POST => ("submit", submit(node, request, target, id).await),
+        Method::GET => ("status", status(node, target, id).await),
+        Method::DELETE => ("cancel", cancel(node, target, id).await),
+        _ => ("none", error(StatusCode::METHOD_NOT_ALLOWED, "a job can be submitted, read and cancelled")),
+    }
+}
+
+fn is_id(id: &str) -> bool {
+    id.len() == 16 && id.bytes().all(|it| it.is_ascii_hexdigit())
+}
+
+async fn submit(node: &Arc<Node>, request: Request<Incoming>, target: &Target, id: &Id) -> Answer {
+    let body = Limited::new(request.into_body(), BODY_LIMIT).collect().await;
+    let Ok(body) = body else {
+        return error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long or was cut short");
+    };
+    let spec = match caller::read_job(&body.to_bytes()) {
+        Ok(spec) => spec,
+        Err(err) => return error(StatusCode::BAD_REQUEST, &err.to_string()),
+    };
+    let submission = Submission {
+        queue: target.queue.name.clone(),
+        pool: target.queue.pool.clone(),
+        team: target.team.clone(),
+        received_ms: clock::now().wall_ms(),
+        spec: Arc::new(spec),
+    };
+    let part = node.part_of(&target.queue.pool);
+    match store(node, part, id, durable::Request::Submit(submission), target.deadline).await {
+        Reply::Done => serve::json(StatusCode::OK, caller::status_body(oriolewall::scheduler::Status::Queued)),
+        Reply::Unavailable => refuse("the log takes no requests"),
+        _ => error(StatusCode::GATEWAY_TIMEOUT, "the log did not answer; the job may have been taken"),
+    }
+}
+
+async fn cancel(node: &Arc<Node>, target: &Target, id: &Id) -> Answer {
+    let part = node.part_of(&target.queue.pool);
+    let request = durable::Request::Cancel {
+        at_ms: clock::now().wall_ms(),
+    };
+    match store(node, part, id, request, target.deadline).await {
+        Reply::Done => serve::json(StatusCode::OK, caller::status_body(oriolewall::scheduler::Status::Cancelled)),
+        Reply::Unavailable => refuse("the log takes no requests"),
+        _ => error(StatusCode::GATEWAY_TIMEOUT, "the log did not answer; the job may have been cancelled"),
+    }
+}
+
+/// Appends a request, directly or through another instance, until it is known to be in the log.
+async fn store(node: &Arc<Node>, part: PartId, id: &Id, request: durable::Request, deadline: Instant) -> Reply {
+    let refuse_at = Instant::now() + REFUSE_AFTER;
+    let mut maybe = false;
+    let mut direct = true;
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now()).min(APPEND_TRY);
+        let reply = match direct {
+            true => peer::append(node, part, id, &request, left).await,
+            false => relay(node, part, id, &request, left).await,
+        };
+        match reply {
+            Reply::Done => return Reply::Done,
+            Reply::Unavailable | Reply::NotOwner => {}
+            _ => maybe = true,
+        }
+        direct = !direct;
+        let now = Instant::now();
+        match maybe {
+            // The same record again changes nothing if the first one is there.
+            true if deadline <= now + PAUSE => return Reply::Unknown,
+            false if refuse_at <= now + PAUSE => return Reply::Unavailable,
+            _ => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Has another instance append a request: the log may turn only this one away.
+async fn relay(node: &Arc<Node>, part: PartId, id: &Id, request: &durable::Request, timeout: Duration) -> Reply {
+    let owners = node.owners.load_full();
+    let owner = owners.get(&part).filter(|it| **it != node.settings.peers);
+    let other = owner.or_else(|| owners.values().find(|it| **it != node.settings.peers));
+    let Some(addr) = other else {
+        return Reply::Unavailable;
+    };
+    let call = Call::Append {
+        part,
+        id: id.clone(),
+        request: request.clone(),
+    };
+    peer::remote(node, *addr, call, timeout).await
+}
+
+async fn status(node: &Arc<Node>, target: &Target, id: &Id) -> Answer {
+    let part = node.part_of(&target.queue.pool);
+    let refuse_at = Instant::now() + REFUSE_AFTER;
+    loop {
+        let call = Call::Status { part, id: id.clone() };
+        match peer::call(node, part, call).await {
+            Reply::Status(Some(status)) => return serve::json(StatusCode::OK, caller::status_body(status)),
+            Reply::Status(None) => return error(StatusCode::GONE, "there is no such job"),
+            _ if refuse_at <= Instant::now() + PAUSE => return refuse("the owner of the job's pool does not answer"),
+            _ => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+async fn pending(node: &Arc<Node>, target: &Target) -> Answer {
+    let part = node.part_of(&target.queue.pool);
+    let refuse_at = Instant::now() + REFUSE_AFTER;
+    loop {
+        let call = Call::Pending {
+            part,
+            queue: target.queue.name.clone(),
+        };
+        match peer::call(node, part, call).await {
+            Reply::Pending(count) => return serve::json(StatusCode::OK, caller::pending_body(count)),
+            _ if refuse_at <= Instant::now() + PAUSE => return refuse("the owner of the queue's pool does not answer"),
+            _ => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+fn refuse(why: &str) -> Answer {
+    let mut answer = error(StatusCode::SERVICE_UNAVAILABLE, why);
+    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(COME_BACK));
+    answer
+}
+
+fn error(status: StatusCode, why: &str) -> Answer {
+    serve::json(status, json!({ "error": why }).to_string().into_bytes())
+}
--- /dev/null
+++ b/fleet/src/group.rs
@@ -0,0 +1,131 @@
+//! Which partitions this instance owns, by membership in the log's group.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriole_platform::log::{Error, Holder, Share};
+use oriolewall::exchange::PartId;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::clock;
+use crate::node::{Node, Owned};
+use crate::owner::{self, Event};
+use crate::watch;
+
+/// Name of the group of owners.
+pub(crate) const GROUP: &str = "owners";
+/// Time between two joins.
+const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+/// Time to live of a member, as a multiple of the interval: four joins may be lost.
+const TTL: Duration = Duration::from_millis(2000);
+/// Time for a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Longest time between two readings of all owners.
+const OWNERS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Keeps this instance in the group and runs owners for what it holds.
+pub(crate) async fn run(node: Arc<Node>) {
+    retire_earlier(&node).await;
+    tokio::spawn(follow_owners(node.clone()));
+    let mut generation = 0;
+    let ttl = TTL.max(node.settings.member_ttl);
+    loop {
+        let sent = clock::now();
+        let joined = node.log.join(GROUP, &node.member, ttl, generation, CALL_TIMEOUT).await;
+        match joined {
+            Ok(share) => {
+                watch::note_log(&node, true);
+                let changed = share.generation != generation;
+                generation = share.generation;
+                apply(&node, &share, sent.mono);
+                if changed {
+                    node.refresh_owners.notify_one();
+                    // Joining at the new generation lets go of what is no longer held.
+                    continue;
+                }
+            }
+            Err(Error::Member) => generation = 0,
+            Err(err) => watch::failed(&node, "join", &err),
+        }
+        tokio::time::sleep(JOIN_INTERVAL).await;
+    }
+}
+
+/// Starts and ends owners.
+fn apply(node: &Arc<Node>, share: &Share, sent: Duration) {
+    let Ok(mut owned) = node.owned.lock() else {
+        return;
+    };
+    let lost: Vec<PartId> = owned.keys().filter(|it| !share.parts.contains(it)).copied().collect();
+    for part in lost {
+        owned.remove(&part);
+        node.decisions.line("ownership", json!({ "part": part, "generation": share.generation, "outcome": "lost" }));
+    }
+    for part in &share.parts {
+        if let Some(owner) = owned.get(part).filter(|it| !it.events.is_closed()) {
+            // The owner may have ended meanwhile; the next join starts it again.
+            let _ = owner.events.send(Event::Proven(sent));
+            continue;
+        }
+        // An owner that was fenced waits for a generation of its own.
+        if owned.get(part).is_some_and(|it| share.generation <= it.epoch) {
+            continue;
+        }
+        let (events, inbox) = mpsc::unbounded_channel();
+        let epoch = share.generation;
+        node.decisions.line("ownership", json!({ "part": part, "generation": epoch, "outcome": "won" }));
+        tokio::spawn(owner::run(node.clone(), *part, epoch, events.clone(), inbox));
+        owned.insert(*part, Owned { epoch, events });
+    }
+}
+
+/// Takes earlier lives of this instance out of the group: its address is bound here now.
+async fn retire_earlier(node: &Node) {
+    let Ok(holders) = node.log.owners(GROUP, CALL_TIMEOUT).await else {
+        return;
+    };
+    let prefix = format!("{}@", node.settings.peers);
+    let mut earlier: Vec<String> = holders.into_iter().map(|it| it.member).collect();
+    earlier.retain(|it| it.starts_with(&prefix) && *it != node.member);
+    earlier.sort();
+    earlier.dedup();
+    for member in earlier {
+        if let Err(err) = node.log.leave(GROUP, &member, CALL_TIMEOUT).await {
+            watch::failed(node, "leave", &err);
+        }
+    }
+}
+
+/// Leaves the group, so that others own the partitions at once.
+pub(crate) async fn leave(node: &Node) {
+    if let Ok(mut owned) = node.owned.lock() {
+        owned.clear();
+    }
+    if let Err(err) = node.log.leave(GROUP, &node.member, CALL_TIMEOUT).await {
+        watch::failed(node, "leave", &err);
+    }
+    node.refresh_owners.notify_one();
+}
+
+/// Follows who owns which partition.
+async fn follow_owners(node: Arc<Node>) {
+    loop {
+        if let Ok(holders) = node.log.owners(GROUP, CALL_TIMEOUT).await {
+            node.owners.store(Arc::new(addresses(&holders)));
+        }
+        tokio::select! {
+            () = node.refresh_owners.notified() => {}
+            () = tokio::time::sleep(OWNERS_INTERVAL) => {}
+        }
+        // Many calls may ask for it at once.
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+}
+
+fn addresses(holders: &[Holder]) -> HashMap<PartId, SocketAddr> {
+    let address = |it: &Holder| Some((it.part, it.member.split('@').next()?.parse().ok()?));
+    holders.iter().filter_map(address).collect()
+}
--- /dev/null
+++ b/fleet/src/node.rs
@@ -0,0 +1,160 @@
+//! What all parts of an entry instance share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use oriole_daemon::lane::Lane;
+use oriole_platform::log::Log;
+use oriolewall::catalog::Catalog;
+use oriolewall::exchange::PartId;
+use oriolewall::id::{InstanceId, PoolId};
+use oriolewall::roster::Listed;
+use tokio::sync::{mpsc, watch};
+
+use crate::clock;
+use crate::decision;
+use crate::metrics::Metrics;
+use crate::owner::Event;
+use crate::settings::Settings;
+
+/// Silence of the log after which this instance asks for no new connections.
+/// Longer than a restart of the log's connections, shorter than callers' deadlines.
+const UNREADY_AFTER: Duration = Duration::from_millis(2500);
+/// Connections to each other entry instance.
+const PEER_WIDTH: usize = 4;
+
+/// An owner of a partition in this process.
+#[derive(Clone, Debug)]
+pub(crate) struct Owned {
+    pub(crate) epoch: u64,
+    pub(crate) events: mpsc::UnboundedSender<Event>,
+}
+
+/// Where the owners of partitions are.
+pub(crate) type Owners = HashMap<PartId, SocketAddr>;
+
+/// What all parts of an entry instance share.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) member: String,
+    pub(crate) log: Log,
+    pub(crate) decisions: decision::Log,
+    pub(crate) metrics: Metrics,
+    /// Operators' configuration; version 0 until one is read.
+    pub(crate) catalog: ArcSwap<Catalog>,
+    pub(crate) catalog_changes: watch::Sender<u64>,
+    /// The list of workers.
+    pub(crate) workers: ArcSwap<HashMap<InstanceId, Listed>>,
+    pub(crate) worker_changes: watch::Sender<u64>,
+    /// Owners elsewhere and here, as the log shows them.
+    pub(crate) owners: ArcSwap<Owners>,
+    pub(crate) refresh_owners: tokio::sync::Notify,
+    /// Owners in this process.
+    pub(crate) owned: Mutex<HashMap<PartId, Owned>>,
+    peers: Mutex<HashMap<SocketAddr, Arc<Lane>>>,
+    log_heard_ms: AtomicU64,
+    stopping: AtomicBool,
+    open_requests: AtomicU64,
+}
+
+/// Counts a request as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenRequest<'a> {
+    node: &'a Node,
+}
+
+impl Node {
+    pub(crate) fn new(settings: Settings) -> Node {
+        let member = format!("{}@{}", settings.peers, clock::now().wall_ms());
+        Node {
+            log: Log::new(settings.log),
+            decisions: decision::Log::start(settings.name.clone()),
+            metrics: Metrics::new(),
+            catalog: ArcSwap::from_pointee(Catalog::default()),
+            catalog_changes: watch::Sender::new(0),
+            workers: ArcSwap::from_pointee(HashMap::new()),
+            worker_changes: watch::Sender::new(0),
+            owners: ArcSwap::from_pointee(HashMap::new()),
+            refresh_owners: tokio::sync::Notify::new(),
+            owned: Mutex::new(HashMap::new()),
+            peers: Mutex::new(HashMap::new()),
+            log_heard_ms: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            open_requests: AtomicU64::new(0),
+            member,
+            settings,
+        }
+    }
+
+    /// The partition of a pool's jobs, by a 64-bit FNV-1a hash of its name.
+    pub(crate) fn part_of(&self, pool: &PoolId) -> PartId {
+        let hash = pool.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+        });
+        // The low bits of the hash of short names are unevenly spread.
+        ((hash >> 32) % u64::from(self.settings.parts)) as PartId
+    }
+
+    /// The owner of a partition in this process.
+    pub(crate) fn owned(&self, part: PartId) -> Option<Owned> {
+        self.owned.lock().ok()?.get(&part).cloned()
+    }
+
+    /// The lane to another entry instance.
+    pub(crate) fn peer(&self, addr: SocketAddr) -> Arc<Lane> {
+        let mut peers = self.peers.lock().unwrap_or_else(|it| it.into_inner());
+        peers.entry(addr).or_insert_with(|| Arc::new(Lane::new(addr, PEER_WIDTH))).clone()
+    }
+
+    /// Notes an answer of the log.
+    pub(crate) fn heard_log(&self) {
+        self.log_heard_ms.store(clock::now().mono.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Whether the log has answered lately.
+    pub(crate) fn reaches_log(&self) -> bool {
+        let heard = Duration::from_millis(self.log_heard_ms.load(Ordering::Relaxed));
+        clock::now().mono < heard + UNREADY_AFTER
+    }
+
+    /// Whether callers should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.catalog.load().version != 0 && self.reaches_log()
+    }
+
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn open_request(&self) -> OpenRequest<'_> {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenRequest { node: self }
+    }
+
+    pub(crate) fn open_requests(&self) -> u64 {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Waits until no request is open, up to a limit.
+    pub(crate) async fn wait_idle(&self, limit: Duration) {
+        let deadline = tokio::time::Instant::now() + limit;
+        while self.open_requests() != 0 && tokio::time::Instant::now() < deadline {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.node.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/fleet/src/owner.rs
@@ -0,0 +1,515 @@
+//! Runs the scheduler of a partition: takes it over, feeds it events, and
+//! carries its actions out.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oriole_platform::log::{Entry, Error, JOBS, Part, REQUESTS, Tail, Writer};
+use oriole_platform::worker::Worker;
+use oriolewall::durable::{Id, QueueId, Record, Request};
+use oriolewall::exchange::{Call, PartId, Reply, Report};
+use oriolewall::id::{InstanceId, TeamId};
+use oriolewall::need::Need;
+use oriolewall::quota;
+use oriolewall::roster::{Listed, RunKey};
+use oriolewall::scheduler::{Action, Answer, Bounds, Look, Note, Scheduler, Status};
+use serde_json::json;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+
+use crate::node::Node;
+use crate::{clock, duty, peer, watch};
+
+/// Time after the last proof of ownership during which leases are renewed.
+/// Longer than a member's time to live, so that a hand-over never lets leases lapse.
+const TERM: Duration = Duration::from_millis(3000);
+/// Lease as a part of the longest that workers grant.
+const LEASE_PART: f64 = 0.6;
+/// Time for a call to the log.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause after a failed call to the log.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Time for which a read of requests waits.
+const TAIL_WAIT: Duration = Duration::from_secs(2);
+/// Time after which an owner that has read no requests cannot tell that a job does not exist.
+const TAIL_FRESH: Duration = Duration::from_millis(4500);
+/// Time between two reports on teams' caps.
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Time for which a worker is kept empty after it was asked for.
+const VACATE_TERM: Duration = Duration::from_secs(2);
+/// Suffix of the key of a request to cancel.
+const CANCEL_SUFFIX: char = '!';
+
+/// What an owner is told.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// Callers' requests from the log.
+    Requests(Tail),
+    /// The configuration changed.
+    Catalog,
+    /// The list of workers changed.
+    Workers,
+    /// The group confirmed this owner, by a call sent at this time.
+    Proven(Duration),
+    /// A worker showed what runs there.
+    Looked(InstanceId, Result<Look, Answer>),
+    /// A worker answered an order to start.
+    Started(InstanceId, RunKey, Answer),
+    /// A worker answered an order to stop.
+    Stopped(InstanceId, Answer),
+    /// The last commit is in the log, or a later owner writes there.
+    Committed(Result<(), Error>),
+    /// What teams may have running, by a report sent at this time.
+    Grants(Duration, HashMap<TeamId, Need>),
+    /// Somebody asks for a job's state.
+    Status(Id, oneshot::Sender<Reply>),
+    /// Somebody asks how many jobs of a queue wait.
+    Pending(QueueId, oneshot::Sender<Reply>),
+    /// A worker is to be emptied.
+    Vacate(InstanceId, oneshot::Sender<Reply>),
+}
+
+/// The key of a request to cancel a job.
+pub(crate) fn cancel_key(id: &Id) -> String {
+    format!("{id}{CANCEL_SUFFIX}")
+}
+
+struct Owner {
+    node: Arc<Node>,
+    part: PartId,
+    epoch: u64,
+    events: mpsc::UnboundedSender<Event>,
+    scheduler: Scheduler,
+    workers: HashMap<InstanceId, Arc<Worker>>,
+    sequence: u64,
+    tail_read: Duration,
+    grants: HashMap<TeamId, Need>,
+    granted: Duration,
+    reported: Duration,
+    tasks: JoinSet<()>,
+}
+
+/// Owns a partition until a later owner is seen or all senders of events are gone.
+pub(crate) async fn run(
+    node: Arc<Node>,
+    part: PartId,
+    epoch: u64,
+    events: mpsc::UnboundedSender<Event>,
+    inbox: mpsc::UnboundedReceiver<Event>,
+) {
+    let started = clock::now();
+    let Some((scheduler, next)) = take_over(&node, part, epoch).await else {
+        node.decisions.line("ownership", json!({ "part": part, "epoch": epoch, "outcome": "fenced at takeover" }));
+        return;
+    };
+    let took = clock::now().mono.saturating_sub(started.mono);
+    node.metrics.takeover_seconds.observe(took.as_secs_f64());
+    node.decisions.line(
+        "takeover",
+        json!({ "part": part, "epoch": epoch, "took_ms": took.as_millis() as u64, "jobs": scheduler.job_count() }),
+    );
+    let mut owner = Owner {
+        part,
+        epoch,
+        events: events.clone(),
+        scheduler,
+        workers: HashMap::new(),
+        sequence: 0,
+        tail_read: clock::now().mono,
+        grants: HashMap::new(),
+        granted: Duration::ZERO,
+        reported: Duration::ZERO,
+        tasks: JoinSet::new(),
+        node: node.clone(),
+    };
+    owner.tasks.spawn(follow_requests(node.clone(), part, next, events.clone()));
+    owner.tasks.spawn(follow_changes(node.clone(), events));
+    owner.refresh_catalog();
+    owner.refresh_workers();
+    owner.serve(inbox).await;
+    node.decisions.line("ownership", json!({ "part": part, "epoch": epoch, "outcome": "ended" }));
+}
+
+/// Sets the epoch and reads the jobs and requests; `None` if a later owner is there.
+async fn take_over(node: &Node, part: PartId, epoch: u64) -> Option<(Scheduler, u64)> {
+    let jobs = Part { topic: JOBS, number: part };
+    let requests = Part { topic: REQUESTS, number: part };
+    let writer = Writer { epoch, sequence: 0 };
+    while let Err(err) = node.log.append(jobs, Some(writer), &[], CALL_TIMEOUT).await {
+        // The number of an empty append is not checked against those before it.
+        match err {
+            Error::Sequence { .. } => break,
+            Error::Fenced => return None,
+            err => watch::failed(node, "epoch", &err),
+        }
+        if !still_owned(node, part, epoch) {
+            return None;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    let now = clock::now();
+    let bounds = Bounds {
+        lease: node.settings.lease_max.mul_f64(LEASE_PART),
+        term: TERM,
+    };
+    let mut scheduler = Scheduler::new(bounds, now);
+    for entry in read_all(node, jobs, epoch).await?.entries {
+        let Some(value) = entry.value else {
+            continue;
+        };
+        match rmp_serde::from_slice::<Record>(&value) {
+            Ok(record) => scheduler.load(Id::from(entry.key), record),
+            Err(err) => unreadable(node, part, &entry.key, &err),
+        }
+    }
+    let tail = read_all(node, requests, epoch).await?;
+    let next = tail.next;
+    take_requests(node, part, &mut scheduler, tail);
+    Some((scheduler, next))
+}
+
+fn still_owned(node: &Node, part: PartId, epoch: u64) -> bool {
+    node.owned(part).is_some_and(|it| it.epoch == epoch)
+}
+
+async fn read_all(node: &Node, part: Part, epoch: u64) -> Option<Tail> {
+    loop {
+        match node.log.newest(part, CALL_TIMEOUT).await {
+            Ok(tail) => return Some(tail),
+            Err(err) => watch::failed(node, "newest", &err),
+        }
+        if !still_owned(node, part.number, epoch) {
+            return None;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn unreadable(node: &Node, part: PartId, key: &str, err: &rmp_serde::decode::Error) {
+    node.decisions.line("record_skipped", json!({ "part": part, "key": key, "error": err.to_string() }));
+}
+
+fn take_requests(node: &Node, part: PartId, scheduler: &mut Scheduler, tail: Tail) {
+    let now = clock::now();
+    for entry in tail.entries {
+        let Some(value) = entry.value else {
+            continue;
+        };
+        let id = Id::from(entry.key.trim_end_matches(CANCEL_SUFFIX));
+        match rmp_serde::from_slice::<Request>(&value) {
+            Ok(request) => scheduler.request(now, id, request),
+            Err(err) => unreadable(node, part, &entry.key, &err),
+        }
+    }
+}
+
+/// Follows callers' requests.
+async fn follow_requests(node: Arc<Node>, part: PartId, mut next: u64, events: mpsc::UnboundedSender<Event>) {
+    let requests = Part { topic: REQUESTS, number: part };
+    loop {
+        let read = match node.log.read(requests, next, TAIL_WAIT, CALL_TIMEOUT).await {
+            // What expired stands among the newest records unless it was removed.
+            Err(Error::Expired { .. }) => node.log.newest(requests, CALL_TIMEOUT).await,
+            read => read,
+        };
+        match read {
+            Ok(tail) => {
+                next = tail.next;
+                if events.send(Event::Requests(tail)).is_err() {
+                    return;
+                }
+            }
+            Err(err) => {
+                watch::failed(&node, "requests", &err);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Passes on that the configuration or the list of workers changed.
+async fn follow_changes(node: Arc<Node>, events: mpsc::UnboundedSender<Event>) {
+    let mut catalog = node.catalog_changes.subscribe();
+    let mut workers = node.worker_changes.subscribe();
+    loop {
+        let event = tokio::select! {
+            changed = catalog.changed() => changed.map(|()| Event::Catalog),
+            changed = workers.changed() => changed.map(|()| Event::Workers),
+        };
+        let Ok(event) = event else {
+            return;
+        };
+        if events.send(event).is_err() {
+            return;
+        }
+    }
+}
+
+impl Owner {
+    async fn serve(&mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+        loop {
+            let now = clock::now();
+            let pause = self.scheduler.next_poll(now).saturating_sub(now.mono);
+            let event = tokio::time::timeout(pause, inbox.recv()).await;
+            match event {
+                Ok(Some(event)) => self.take(event),
+                Ok(None) => return,
+                Err(_) => {}
+            }
+            while let Ok(event) = inbox.try_recv() {
+                self.take(event);
+            }
+            // Ownership ends when the group or a later owner says so.
+            if self.scheduler.is_fenced() || !still_owned(&self.node, self.part, self.epoch) {
+                return;
+            }
+            self.report();
+            for action in self.scheduler.poll(clock::now()) {
+                self.carry_out(action);
+            }
+            while self.tasks.try_join_next().is_some() {}
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = clock::now();
+        match event {
+            Event::Requests(tail) => {
+                self.tail_read = now.mono;
+                take_requests(&self.node, self.part, &mut self.scheduler, tail);
+            }
+            Event::Catalog => self.refresh_catalog(),
+            Event::Workers => self.refresh_workers(),
+            Event::Proven(at) => self.scheduler.prove(at),
+            Event::Looked(id, Ok(look)) => self.scheduler.looked(now, &id, look),
+            Event::Looked(id, Err(answer)) => self.scheduler.look_failed(now, &id, answer),
+            Event::Started(id, key, answer) => self.scheduler.started(now, &id, &key, answer),
+            Event::Stopped(id, answer) => self.scheduler.stopped(now, &id, answer),
+            Event::Committed(Ok(())) => self.scheduler.committed(now),
+            Event::Committed(Err(err)) => {
+                watch::failed(&self.node, "commit", &err);
+                self.scheduler.fence();
+            }
+            Event::Grants(sent, grants) => {
+                self.granted = sent;
+                self.grants = grants.clone();
+                self.scheduler.set_grants(grants);
+            }
+            Event::Status(id, reply) => answer(reply, self.status(&id)),
+            Event::Pending(queue, reply) => answer(reply, Reply::Pending(self.scheduler.pending(&queue))),
+            Event::Vacate(id, reply) => {
+                let vacant = self.scheduler.vacate(&id, now.mono + VACATE_TERM);
+                answer(reply, Reply::Vacant(vacant));
+            }
+        }
+    }
+
+    fn status(&self, id: &Id) -> Reply {
+        let status: Option<Status> = self.scheduler.status(id);
+        // A request that has not been read yet may be there all the same.
+        if status.is_none() && self.tail_read + TAIL_FRESH < clock::now().mono {
+            return Reply::Unavailable;
+        }
+        Reply::Status(status)
+    }
+
+    fn refresh_catalog(&mut self) {
+        self.scheduler.set_catalog(self.node.catalog.load_full());
+        self.refresh_workers();
+    }
+
+    /// Hands the scheduler the workers of this partition's pools.
+    fn refresh_workers(&mut self) {
+        let all = self.node.workers.load_full();
+        let ours: Vec<Listed> = all.values().filter(|it| self.node.part_of(&it.pool) == self.part).cloned().collect();
+        for line in &ours {
+            let known = self.workers.get(&line.id).is_some_and(|it| it.addr() == line.addr);
+            if !known {
+                let worker = Worker::new(line.id.clone(), line.addr);
+                self.workers.insert(line.id.clone(), Arc::new(worker));
+            }
+        }
+        self.scheduler.set_workers(clock::now(), ours);
+        self.scheduler.inherit_unlisted();
+    }
+
+    /// Reports use and demand to the instance that divides the caps.
+    fn report(&mut self) {
+        let now = clock::now().mono;
+        if now < self.reported + REPORT_INTERVAL {
+            return;
+        }
+        self.reported = now;
+        if self.granted + quota::GRANT_TERM < now && !self.grants.is_empty() {
+            self.grants.clear();
+            self.scheduler.set_grants(HashMap::new());
+        }
+        let report = Report {
+            part: self.part,
+            epoch: self.epoch,
+            teams: self.scheduler.demand(),
+            held: self.grants.clone(),
+            free_cpu: self.scheduler.free_cpu(),
+        };
+        let (node, events) = (self.node.clone(), self.events.clone());
+        self.tasks.spawn(async move {
+            if let Reply::Grants(grants) = peer::call(&node, duty::PART, Call::Report(report)).await {
+                // The owner may have ended meanwhile.
+                let _ = events.send(Event::Grants(now, grants));
+            }
+        });
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Commit(records) => self.commit(records),
+            Action::Forget(ids) => self.forget(ids),
+            Action::Start(start) => {
+                let (events, token) = (self.events.clone(), self.epoch);
+                let (id, key) = (start.worker.clone(), start.key.clone());
+                let node = self.node.clone();
+                let worker = self.workers.get(&id).cloned();
+                self.tasks.spawn(async move {
+                    let Some(worker) = worker else { return };
+                    let answer = worker.start(&start, token).await;
+                    count_order(&node, "start", answer);
+                    let _ = events.send(Event::Started(id, key, answer));
+                });
+            }
+            Action::Stop { worker: id, key } => {
+                let (events, token) = (self.events.clone(), self.epoch);
+                let node = self.node.clone();
+                let worker = self.workers.get(&id).cloned();
+                self.tasks.spawn(async move {
+                    let Some(worker) = worker else { return };
+                    let answer = worker.stop(&key, token).await;
+                    count_order(&node, "stop", answer);
+                    let _ = events.send(Event::Stopped(id, answer));
+                });
+            }
+            Action::Look {
+                worker: id,
+                recorded,
+                until_ms,
+                wait,
+            } => {
+                let (events, token) = (self.events.clone(), self.epoch);
+                let worker = self.workers.get(&id).cloned();
+                self.tasks.spawn(async move {
+                    let Some(worker) = worker else { return };
+                    let look = worker.look(token, recorded, until_ms, wait).await;
+                    let _ = events.send(Event::Looked(id, look));
+                });
+            }
+            Action::Note(note) => self.note(&note),
+        }
+    }
+
+    fn note(&self, note: &Note) {
+        let kind = match note {
+            Note::Admitted { .. } => "admitted",
+            Note::Placed { .. } => "placed",
+            Note::Ended { how, .. } => {
+                self.node.metrics.ends.with_label_values(&[how]).inc();
+                "ended"
+            }
+            Note::Closed { .. } => "closed",
+            Note::Refused { .. } => "order_refused",
+            Note::Contact { .. } => "contact",
+            Note::Suspect { .. } => "suspect",
+        };
+        self.node.decisions.line(kind, note);
+    }
+
+    /// Appends records, again and again until the log has answered.
+    fn commit(&mut self, records: Vec<(Id, Option<Bytes>)>) {
+        let (node, events) = (self.node.clone(), self.events.clone());
+        let part = Part {
+            topic: JOBS,
+            number: self.part,
+        };
+        let entry = |(id, value): (Id, Option<Bytes>)| Entry {
+            key: id.to_string(),
+            value,
+        };
+        let entries: Vec<Entry> = records.into_iter().map(entry).collect();
+        let mut writer = Writer {
+            epoch: self.epoch,
+            sequence: self.sequence,
+        };
+        self.sequence += 1;
+        let first = self.sequence == 1;
+        self.tasks.spawn(async move {
+            let started = clock::now().mono;
+            let result = loop {
+                match node.log.append(part, Some(writer), &entries, CALL_TIMEOUT).await {
+                    Ok(()) => break Ok(()),
+                    Err(Error::Sequence { expected }) if first => writer.sequence = expected,
+                    Err(err @ (Error::Fenced | Error::Sequence { .. })) => break Err(err),
+                    Err(err) => watch::failed(&node, "commit", &err),
+                }
+                tokio::time::sleep(PAUSE).await;
+            };
+            let took = clock::now().mono.saturating_sub(started);
+            node.metrics.commit_seconds.observe(took.as_secs_f64());
+            let _ = events.send(Event::Committed(result));
+        });
+    }
+
+    /// Removes requests that stand in the log as jobs.
+    fn forget(&mut self, ids: Vec<Id>) {
+        let node = self.node.clone();
+        let part = Part {
+            topic: REQUESTS,
+            number: self.part,
+        };
+        let keys = ids.iter().flat_map(|id| [id.to_string(), cancel_key(id)]);
+        let entries: Vec<Entry> = keys.map(|key| Entry { key, value: None }).collect();
+        self.tasks.spawn(async move {
+            // What stays is found and removed by the next owner.
+            if let Err(err) = node.log.append(part, None, &entries, CALL_TIMEOUT).await {
+                watch::failed(&node, "forget", &err);
+            }
+        });
+    }
+}
+
+fn answer(reply: oneshot::Sender<Reply>, value: Reply) {
+    // Whoever asked may have given up.
+    let _ = reply.send(value);
+}
+
+fn count_order(node: &Node, order: &str, answer: Answer) {
+    let word = match answer {
+        Answer::Done { .. } => "done",
+        Answer::Refused(_) => "refused",
+        Answer::Lost => "lost",
+    };
+    node.metrics.orders.with_label_values(&[order, word]).inc();
+}
+
+/// Asks an owner in this process.
+pub(crate) async fn ask<F>(node: &Node, part: PartId, event: F) -> Reply
+where
+    F: FnOnce(oneshot::Sender<Reply>) -> Event,
+{
+    let Some(owned) = node.owned(part) else {
+        return Reply::NotOwner;
+    };
+    let (reply, answer) = oneshot::channel();
+    if owned.events.send(event(reply)).is_err() {
+        return Reply::Unavailable;
+    }
+    answer.await.unwrap_or(Reply::Unavailable)
+}
+
+/// Where the owner of a partition is, as far as this instance knows.
+pub(crate) fn address(node: &Node, part: PartId) -> Option<SocketAddr> {
+    if node.owned(part).is_some() {
+        return Some(node.settings.peers);
+    }
+    node.owners.load().get(&part).copied()
+}
--- /dev/null
+++ b/fleet/src/peer.rs
@@ -0,0 +1,108 @@
+//! Calls between entry instances.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use oriole_daemon::client;
+use oriole_platform::log::{Entry, Error, Part, REQUESTS};
+use oriolewall::durable::{self, Id};
+use oriolewall::exchange::{Call, PartId, Reply};
+use oriolewall::platform;
+
+use crate::node::Node;
+use crate::owner::{self, Event};
+use crate::serve::{self, Answer};
+use crate::{duty, watch};
+
+/// Time for a call; an owner answers from memory.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for an append on behalf of another instance.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Longest call, bytes; a job of 4,096 tasks in few steps takes far less.
+const BODY_LIMIT: usize = 1024 * 1024;
+
+/// Calls the owner of a partition.
+pub(crate) async fn call(node: &Arc<Node>, part: PartId, call: Call) -> Reply {
+    let Some(addr) = owner::address(node, part) else {
+        node.refresh_owners.notify_one();
+        return Reply::NotOwner;
+    };
+    let reply = match addr == node.settings.peers {
+        true => local(node, call).await,
+        false => remote(node, addr, call, CALL_TIMEOUT).await,
+    };
+    if matches!(reply, Reply::NotOwner | Reply::Unknown) {
+        node.refresh_owners.notify_one();
+    }
+    reply
+}
+
+/// Calls an entry instance.
+pub(crate) async fn remote(node: &Node, addr: SocketAddr, call: Call, timeout: Duration) -> Reply {
+    let body = rmp_serde::to_vec(&call).expect("calls can be encoded");
+    let response = node.peer(addr).call(client::Call::post(addr, "/peer", Bytes::from(body), timeout)).await;
+    match response {
+        Ok(response) if response.status == StatusCode::OK => rmp_serde::from_slice(&response.body).unwrap_or(Reply::Unknown),
+        Ok(_) => Reply::Unavailable,
+        Err(platform::Error::Lost) => Reply::Unknown,
+        Err(platform::Error::Undelivered | platform::Error::Unavailable) => Reply::Unavailable,
+    }
+}
+
+/// Answers another instance's call.
+pub(crate) async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Answer {
+    let body = Limited::new(request.into_body(), BODY_LIMIT).collect().await;
+    let Ok(body) = body else {
+        return serve::text(StatusCode::PAYLOAD_TOO_LARGE, "the call is too long");
+    };
+    let Ok(call) = rmp_serde::from_slice::<Call>(&body.to_bytes()) else {
+        return serve::text(StatusCode::BAD_REQUEST, "the call cannot be read");
+    };
+    let reply = local(node, call).await;
+    serve::json(StatusCode::OK, rmp_serde::to_vec(&reply).expect("replies can be encoded"))
+}
+
+async fn local(node: &Arc<Node>, call: Call) -> Reply {
+    match call {
+        Call::Status { part, id } => owner::ask(node, part, |reply| Event::Status(id, reply)).await,
+        Call::Pending { part, queue } => owner::ask(node, part, |reply| Event::Pending(queue, reply)).await,
+        Call::Vacate { part, worker } => owner::ask(node, part, |reply| Event::Vacate(worker, reply)).await,
+        Call::Append { part, id, request } => append(node, part, &id, &request, APPEND_TIMEOUT).await,
+        Call::Report(report) => duty::report(node, report),
+    }
+}
+
+/// Appends a caller's request to the log.
+pub(crate) async fn append(node: &Node, part: PartId, id: &Id, request: &durable::Request, timeout: Duration) -> Reply {
+    let key = match request {
+        durable::Request::Submit(_) => id.to_string(),
+        durable::Request::Cancel { .. } => owner::cancel_key(id),
+    };
+    let value = rmp_serde::to_vec(request).expect("requests can be encoded");
+    let entry = Entry {
+        key,
+        value: Some(Bytes::from(value)),
+    };
+    let part = Part {
+        topic: REQUESTS,
+        number: part,
+    };
+    match node.log.append(part, None, &[entry], timeout).await {
+        Ok(()) => {
+            watch::note_log(node, true);
+            Reply::Done
+        }
+        Err(err) => {
+            watch::failed(node, "append", &err);
+            match err {
+                Error::Call(platform::Error::Lost) | Error::Answer { .. } => Reply::Unknown,
+                _ => Reply::Unavailable,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/settings.rs
@@ -0,0 +1,105 @@
+//! Settings of an entry instance on the users' platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use oriole_daemon::settings::{Error, Kind, Settings as File, Spec};
+use oriolewall::id::ZoneId;
+
+const fn spec(section: &'static str, key: &'static str, kind: Kind, help: &'static str) -> Spec {
+    Spec {
+        section,
+        key,
+        default: None,
+        kind,
+        help,
+    }
+}
+
+/// Settings of `oriole-fleet`; all are required, as the platform fills them in.
+pub const SPECS: &[Spec] = &[
+    spec("node", "name", Kind::Name, "name of this instance"),
+    spec("node", "zone", Kind::Name, "availability zone of this instance"),
+    spec("listen", "callers", Kind::Addr, "address for callers"),
+    spec("listen", "ready", Kind::Addr, "address for readiness checks"),
+    spec("listen", "peers", Kind::Addr, "address for other entry instances"),
+    spec("listen", "metrics", Kind::Addr, "address for metrics"),
+    spec("platform", "log", Kind::Addr, "address of the log service"),
+    spec("platform", "parts", Kind::Number(1, 1024), "partitions of a topic of the log"),
+    spec("platform", "member_ttl_ms", Kind::Number(100, 60_000), "least time to live of a member, milliseconds"),
+    spec("platform", "machines", Kind::Text, "address of the service that manages instances; empty for none"),
+    spec("platform", "advice", Kind::Text, "address of the service that gives advice; empty for none"),
+    spec("bounds", "lease_max_ms", Kind::Number(1_000, 600_000), "longest lease that workers grant, milliseconds"),
+    spec("bounds", "grace_ms", Kind::Number(500, 600_000), "time from SIGTERM to SIGKILL, milliseconds"),
+    spec("bounds", "duty_lease_ms", Kind::Number(0, 60_000), "time between orders of two holders of fleet duties, milliseconds"),
+    spec("limits", "memory_mb", Kind::Number(16, 1_048_576), "memory of this instance, MiB"),
+    spec("limits", "descriptors", Kind::Number(64, 1_048_576), "file descriptors of this instance"),
+];
+
+/// Settings in force.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this instance.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for readiness checks.
+    pub ready: SocketAddr,
+    /// Address for other entry instances.
+    pub peers: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Address of the log service.
+    pub log: SocketAddr,
+    /// Partitions of a topic of the log.
+    pub parts: u32,
+    /// Least time to live of a member of a group.
+    pub member_ttl: Duration,
+    /// Address of the service that manages instances.
+    pub machines: Option<SocketAddr>,
+    /// Address of the service that gives advice.
+    pub advice: Option<SocketAddr>,
+    /// Longest lease that workers grant.
+    pub lease_max: Duration,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Time between orders of two holders of fleet duties.
+    pub duty_lease: Duration,
+    /// File descriptors of this instance.
+    pub descriptors: usize,
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Settings, Error> {
+        Ok(Settings::from_file(&File::load(path, SPECS)?))
+    }
+
+    /// Checks the text of a file.
+    pub fn parse(file: &str, text: &str) -> Result<Settings, Error> {
+        Ok(Settings::from_file(&File::parse(file, text, SPECS)?))
+    }
+
+    fn from_file(file: &File) -> Settings {
+        Settings {
+            name: file.text("node", "name").to_owned(),
+            zone: ZoneId::from(file.text("node", "zone")),
+            callers: file.addr("listen", "callers"),
+            ready: file.addr("listen", "ready"),
+            peers: file.addr("listen", "peers"),
+            metrics: file.addr("listen", "metrics"),
+            log: file.addr("platform", "log"),
+            parts: file.number("platform", "parts") as u32,
+            member_ttl: file.millis("platform", "member_ttl_ms"),
+            machines: file.text("platform", "machines").parse().ok(),
+            advice: file.text("platform", "advice").parse().ok(),
+            lease_max: file.millis("bounds", "lease_max_ms"),
+            grace: file.millis("bounds", "grace_ms"),
+            duty_lease: file.millis("bounds", "duty_lease_ms"),
+            descriptors: file.number("limits", "descriptors") as usize,
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/watch.rs
@@ -0,0 +1,152 @@
+//! Follows operators' records, the list of workers, and the settings file.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriole_platform::config::Records;
+use oriole_platform::list::Workers;
+use oriole_platform::log::{Error, OPERATORS, Part, Tail, WORKERS};
+use serde_json::json;
+
+use crate::node::Node;
+use crate::settings::Settings;
+
+/// Time for which a read of the configuration waits for a change.
+const CONFIG_WAIT: Duration = Duration::from_secs(2);
+/// Time between two reads of the list of workers.
+/// A drain has to be respected within two seconds; a worker writes every 1.5 s.
+const LIST_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for a call that does not wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// First and longest pause after a failed call.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// Time between two looks at the settings file.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows operators' records.
+pub(crate) async fn configuration(node: Arc<Node>) {
+    let mut records = Records::default();
+    let mut next = None;
+    let mut pause = BACKOFF.0;
+    loop {
+        let result = match next {
+            None => full(&node, OPERATORS).await,
+            Some(from) => node.log.read(OPERATORS, from, CONFIG_WAIT, CALL_TIMEOUT).await,
+        };
+        match result {
+            Ok(tail) => {
+                note_log(&node, true);
+                pause = BACKOFF.0;
+                let changed = match next {
+                    None => records.reset_to(tail.entries),
+                    Some(_) => records.take(tail.entries),
+                };
+                next = Some(tail.next);
+                if changed && records.is_loaded() {
+                    publish(&node, &records);
+                }
+            }
+            Err(Error::Expired { .. }) => next = None,
+            Err(err) => {
+                failed(&node, "configuration", &err);
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(BACKOFF.1);
+            }
+        }
+    }
+}
+
+fn publish(node: &Node, records: &Records) {
+    let catalog = records.catalog();
+    node.decisions.line(
+        "configuration",
+        json!({
+            "version": catalog.version,
+            "queues": catalog.queues.len(),
+            "teams": catalog.teams.len(),
+            "zones_out": catalog.zones_out,
+            "waves": catalog.waves.keys().collect::<Vec<_>>(),
+        }),
+    );
+    node.catalog.store(catalog);
+    node.catalog_changes.send_modify(|it| *it += 1);
+}
+
+/// Follows the list of workers.
+pub(crate) async fn workers(node: Arc<Node>) {
+    let mut workers = Workers::default();
+    let mut next = None;
+    let mut pause = BACKOFF.0;
+    loop {
+        let result = match next {
+            None => full(&node, WORKERS).await,
+            Some(from) => node.log.read(WORKERS, from, Duration::ZERO, CALL_TIMEOUT).await,
+        };
+        match result {
+            Ok(tail) => {
+                pause = BACKOFF.0;
+                let changed = match next {
+                    None => workers.reset_to(tail.entries),
+                    Some(_) => workers.take(tail.entries),
+                };
+                next = Some(tail.next);
+                if changed {
+                    node.workers.store(Arc::new(workers.all().clone()));
+                    node.worker_changes.send_modify(|it| *it += 1);
+                }
+                tokio::time::sleep(LIST_INTERVAL).await;
+            }
+            Err(Error::Expired { .. }) => next = None,
+            Err(err) => {
+                failed(&node, "workers", &err);
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(BACKOFF.1);
+            }
+        }
+    }
+}
+
+async fn full(node: &Node, part: Part) -> Result<Tail, Error> {
+    node.log.newest(part, CALL_TIMEOUT).await
+}
+
+/// Writes a line when the log is lost or regained.
+pub(crate) fn note_log(node: &Node, answers: bool) {
+    if answers && !node.reaches_log() {
+        node.decisions.line("dependency", json!({ "name": "log", "state": "regained" }));
+    }
+    if answers {
+        node.heard_log();
+    }
+}
+
+/// Writes a line for a failed call to the log.
+pub(crate) fn failed(node: &Node, what: &'static str, err: &Error) {
+    node.metrics.log_errors.inc();
+    node.decisions.line("dependency", json!({ "name": "log", "state": "failing", "call": what, "error": err.to_string() }));
+}
+
+/// Follows the settings file. What cannot be changed while the process runs is only reported.
+pub(crate) async fn settings(node: Arc<Node>, path: PathBuf) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    let mut last = std::fs::read(&path).ok();
+    loop {
+        let asked = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => false,
+        };
+        let text = std::fs::read(&path).ok();
+        if text == last && !asked {
+            continue;
+        }
+        last = text;
+        match Settings::load(&path) {
+            Ok(_) => node.decisions.line("reload", json!({ "signal": asked, "outcome": "checked" })),
+            Err(err) => node.decisions.line("reload", json!({ "signal": asked, "outcome": "refused", "error": err.to_string() })),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/exchange.rs
@@ -0,0 +1,86 @@
+//! Calls between entry instances, as MessagePack over HTTP.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::durable::{Id, QueueId, Request};
+use crate::id::{InstanceId, TeamId};
+use crate::need::Need;
+use crate::scheduler::{Demand, Status};
+
+/// Partition of the log that a pool's jobs are in.
+pub type PartId = u32;
+
+/// A call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    /// A job's state, from the owner of its partition.
+    Status {
+        /// The partition.
+        part: PartId,
+        /// The job.
+        id: Id,
+    },
+    /// Jobs of a queue that wait, from the owner of its partition.
+    Pending {
+        /// The partition.
+        part: PartId,
+        /// The queue.
+        queue: QueueId,
+    },
+    /// Append a caller's request for an instance that the log turns away.
+    Append {
+        /// The partition.
+        part: PartId,
+        /// The job.
+        id: Id,
+        /// What the caller asks.
+        request: Request,
+    },
+    /// Empty a worker for upkeep or a move.
+    Vacate {
+        /// The partition of the worker's pool.
+        part: PartId,
+        /// The worker.
+        worker: InstanceId,
+    },
+    /// What the owner of a partition uses and wants of teams' caps.
+    Report(Report),
+}
+
+/// What the owner of a partition uses and wants of teams' caps.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The partition.
+    pub part: PartId,
+    /// The owner's epoch.
+    pub epoch: u64,
+    /// Use and demand by team.
+    pub teams: HashMap<TeamId, Demand>,
+    /// What it may have running by team.
+    pub held: HashMap<TeamId, Need>,
+    /// Processor time that its workers have free, thousandths of a core.
+    pub free_cpu: u64,
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// A job's state; `None` if there is no such job.
+    Status(Option<Status>),
+    /// Jobs that wait.
+    Pending(u64),
+    /// It is done.
+    Done,
+    /// Whether nothing runs on the worker.
+    Vacant(bool),
+    /// What the owner may have running by team.
+    Grants(HashMap<TeamId, Need>),
+    /// This instance does not own the partition.
+    NotOwner,
+    /// Certainly not done: the owner is not ready, or the log refuses.
+    Unavailable,
+    /// May have been done.
+    Unknown,
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,14 +25,25 @@
 //! - [`entry`]: the state machine of an entry instance.
 //! - [`maintain`]: the state machine of the maintenance process.
 //! - [`event`]: the time line of events.
+//! - [`need`]: amounts of processor, memory and accelerators.
+//! - [`spec`]: jobs of steps of tasks, as callers ask for them.
+//! - [`durable`]: jobs as the log keeps them.
+//! - [`catalog`]: operators' configuration as one immutable value.
+//! - [`roster`]: workers as the owner of their pool sees them.
+//! - [`scheduler`]: the owner of a pool.
+//! - [`quota`]: teams' caps divided among owners.
+//! - [`exchange`]: calls between entry instances on the platform.
 
 mod adopt;
+pub mod catalog;
 pub mod clock;
 mod config;
 mod dispatch;
+pub mod durable;
 pub mod entry;
 mod escrow;
 pub mod event;
+pub mod exchange;
 pub mod fleet;
 pub mod health;
 pub mod id;
@@ -42,16 +53,22 @@
 pub mod ledger;
 pub mod maintain;
 pub mod member;
+pub mod need;
 mod owner;
 pub mod pace;
 mod peer;
+mod placement;
 pub mod platform;
 pub mod queue;
+pub mod quota;
 pub mod record;
 pub mod replica;
+pub mod roster;
+pub mod scheduler;
 pub mod setting;
 pub mod share;
 pub mod snapshot;
+pub mod spec;
 pub mod state;
 pub mod tree;
 pub mod wave;
--- /dev/null
+++ b/lib/src/placement.rs
@@ -0,0 +1,250 @@
+//! Which task goes to which worker.
+
+use std::cmp::Reverse;
+
+use crate::clock::Now;
+use crate::durable::{Id, Record, Ref, State};
+use crate::id::InstanceId;
+use crate::need::Need;
+use crate::roster::{Run, RunKey, RunPhase, Worker};
+use crate::scheduler::{Note, Scheduler};
+use crate::spec::Step;
+
+/// Most jobs that may find no room before a pass ends.
+/// Beyond this a full pool costs a scan of every queued job on each pass.
+const BLOCKED_LIMIT: usize = 32;
+
+/// How far a job is from its objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Runs until it is cancelled.
+    Lasting,
+    /// Can still meet its objective.
+    InTime,
+    /// Is late, and still wanted.
+    Late,
+    /// Is past three times its objective.
+    Overdue,
+}
+
+impl Scheduler {
+    /// Gives waiting tasks to workers, most urgent jobs first.
+    pub(crate) fn place(&mut self, now: Now) {
+        if now.mono < self.room_retry {
+            return;
+        }
+        let mut blocked = 0;
+        for id in self.order(now) {
+            if BLOCKED_LIMIT < blocked {
+                return;
+            }
+            if !self.place_job(now, &id) {
+                blocked += 1;
+            }
+        }
+    }
+
+    /// Jobs with tasks that may start, in the order in which they get room.
+    fn order(&self, now: Now) -> Vec<Id> {
+        let now_ms = now.wall_ms();
+        let mut jobs: Vec<(Urgency, u32, i64, &Id)> = Vec::new();
+        for id in &self.open {
+            let record = &self.jobs[id].record;
+            if !record.tasks.iter().any(|it| it.state == State::Waiting) {
+                continue;
+            }
+            let priority = self.queue(record).map_or(u32::MAX, |it| it.priority);
+            let objective = self.objective_ms(record) as i64;
+            let base = match record.spec().is_timed() {
+                true => record.spec().start_at_ms.max(record.submission.received_ms),
+                false => record.submission.received_ms,
+            };
+            let age = now_ms as i64 - base as i64;
+            let slack = objective - age - remaining_ms(record) as i64;
+            let urgency = match () {
+                () if record.spec().is_lasting() => Urgency::Lasting,
+                () if 0 <= slack => Urgency::InTime,
+                () if age <= 3 * objective => Urgency::Late,
+                () => Urgency::Overdue,
+            };
+            jobs.push((urgency, priority, slack, id));
+        }
+        jobs.sort();
+        jobs.into_iter().map(|(_, _, _, id)| id.clone()).collect()
+    }
+
+    /// Places what it can of a job; returns whether something found no room.
+    fn place_job(&mut self, now: Now, id: &Id) -> bool {
+        let record = &self.jobs[id].record;
+        let mut waiting: Vec<Ref> = Vec::new();
+        for turn in 0..record.spec().turns() {
+            for step in 0..record.spec().steps.len() {
+                if !record.tasks_of(turn, step).iter().any(|it| it.state == State::Waiting) {
+                    continue;
+                }
+                if !record.is_ready(turn, step, now.wall_ms()) {
+                    continue;
+                }
+                let tasks = record.tasks_of(turn, step).iter().enumerate();
+                let free = tasks.filter(|(_, it)| it.state == State::Waiting);
+                waiting.extend(free.map(|(index, _)| Ref {
+                    job: id.clone(),
+                    turn,
+                    step: step as u16,
+                    index: index as u32,
+                }));
+            }
+        }
+        let mut all_placed = true;
+        let mut index = 0;
+        while index < waiting.len() {
+            let step = waiting[index].step;
+            let turn = waiting[index].turn;
+            let same = waiting[index..].iter().take_while(|it| it.step == step && it.turn == turn).count();
+            let group = &waiting[index..index + same];
+            index += same;
+            let gang = self.jobs[id].record.step(step).gang;
+            let placed = match gang {
+                true => self.place_gang(now, group),
+                false => self.place_each(now, group),
+            };
+            all_placed &= placed;
+        }
+        all_placed
+    }
+
+    fn place_each(&mut self, now: Now, group: &[Ref]) -> bool {
+        for task in group {
+            let Some(worker) = self.choose(now, task) else {
+                return false;
+            };
+            let run = self.next_run(task);
+            self.assign(now, task, worker, run);
+        }
+        true
+    }
+
+    /// Places all tasks of a gang, or none.
+    fn place_gang(&mut self, now: Now, group: &[Ref]) -> bool {
+        let record = &self.jobs[&group[0].job].record;
+        let step = record.step(group[0].step);
+        if group.len() != step.count as usize {
+            // Members of an earlier run have not ended yet.
+            return false;
+        }
+        let run = group.iter().map(|it| self.next_run(it)).max().unwrap_or(1);
+        let mut chosen: Vec<(Ref, InstanceId)> = Vec::new();
+        let need = step.reserved();
+        for task in group {
+            let Some(worker) = self.choose(now, task) else {
+                break;
+            };
+            self.workers.get_mut(&worker).expect("it was chosen").used += need;
+            chosen.push((task.clone(), worker));
+        }
+        for (_, worker) in &chosen {
+            self.workers.get_mut(worker).expect("it was chosen").used -= need;
+        }
+        if chosen.len() != group.len() {
+            return false;
+        }
+        let team = self.jobs[&group[0].job].record.submission.team.clone();
+        let whole = self.jobs[&group[0].job].record.step(group[0].step).need.times(group.len() as u64);
+        let used = self.usage.get(&team).copied().unwrap_or_default();
+        if !whole.fits(&used, &self.grant(&team)) {
+            return false;
+        }
+        for (task, worker) in chosen {
+            self.assign(now, &task, worker, run);
+        }
+        true
+    }
+
+    fn next_run(&self, task: &Ref) -> u32 {
+        let record = &self.jobs[&task.job].record;
+        let position = record.position(task).expect("waiting tasks are tasks of the job");
+        record.tasks[position].run + 1
+    }
+
+    /// The best worker for a task, if one has room.
+    fn choose(&self, now: Now, task: &Ref) -> Option<InstanceId> {
+        let record = &self.jobs[&task.job].record;
+        let step = record.step(task.step);
+        let team = &record.submission.team;
+        let used = self.usage.get(team).copied().unwrap_or_default();
+        if !team.is_empty() && !step.need.fits(&used, &self.grant(team)) {
+            return None;
+        }
+        let fits = |it: &&Worker| self.may_take(now, it, record, step, task);
+        let workers = self.workers.values().filter(fits);
+        let best = workers.max_by_key(|it| {
+            let near = step.rack.is_empty() || it.listed.rack == step.rack;
+            let room = it.listed.capacity.less(&it.used).cpu;
+            (!it.is_suspect(now.mono), near, room, Reverse(it.listed.id.clone()))
+        })?;
+        Some(best.listed.id.clone())
+    }
+
+    fn may_take(&self, now: Now, worker: &Worker, record: &Record, step: &Step, task: &Ref) -> bool {
+        let listed = &worker.listed;
+        worker.is_open(now.mono)
+            && listed.pool == record.submission.pool
+            && !self.catalog.zones_out.contains(&listed.zone)
+            && step.reserved().fits(&worker.used, &listed.capacity)
+            && (step.label.is_empty() || listed.labels.contains(&step.label))
+            && (step.spread == 0 || worker.count_of(&task.job, task.turn, task.step) < step.spread)
+    }
+
+    /// Records the intent to run a task on a worker.
+    fn assign(&mut self, now: Now, task: &Ref, id: InstanceId, run: u32) {
+        let tracked = self.jobs.get_mut(&task.job).expect("the caller looked it up");
+        let record = &mut tracked.record;
+        let position = record.position(task).expect("the caller looked it up");
+        record.tasks[position].run = run;
+        record.tasks[position].state = State::Placed(id.clone());
+        let step = record.step(task.step);
+        let (reserved, need): (Need, Need) = (step.reserved(), step.need);
+        let team = record.submission.team.clone();
+        let age_ms = now.wall_ms().saturating_sub(record.submission.received_ms);
+        let worker = self.workers.get_mut(&id).expect("it was chosen");
+        let free_cpu = worker.listed.capacity.less(&worker.used).cpu;
+        let key = RunKey { task: task.clone(), run };
+        worker.add(
+            key.clone(),
+            Run {
+                phase: RunPhase::Intended,
+                team: team.clone(),
+                reserved,
+                need,
+                seen_ms: 0,
+                percent: 0,
+                progressed: now.mono,
+                stop_sent: None,
+            },
+        );
+        *self.usage.entry(team).or_default() += need;
+        self.intents.push((id.clone(), key));
+        self.mark(&task.job);
+        self.note(Note::Placed {
+            job: task.job.clone(),
+            task: (task.turn, task.step, task.index),
+            run,
+            worker: id,
+            free_cpu,
+            age_ms,
+            config: self.catalog.version,
+        });
+    }
+}
+
+/// Estimated time to the end of a job if all its tasks had room at once, milliseconds.
+fn remaining_ms(record: &Record) -> u64 {
+    let spec = record.spec();
+    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for (index, step) in spec.steps.iter().enumerate() {
+        let start = step.after.iter().map(|it| ends[usize::from(*it)]).max().unwrap_or(0);
+        let left = if record.is_step_done(0, index) { 0 } else { step.estimate_ms };
+        ends.push(start + left);
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
--- /dev/null
+++ b/lib/src/roster.rs
@@ -0,0 +1,260 @@
+//! Workers as the owner of their pool sees them: what runs there, how long it
+//! may run on, and whether they answer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::durable::{Id, Ref};
+use crate::id::{InstanceId, PoolId, RackId, TeamId, ZoneId};
+use crate::need::Need;
+
+/// Slowest clock of a worker, as a part of true time; the platform promises 2%.
+const CLOCK_RATE: f64 = 0.98;
+/// Failed runs in a row after which a worker is avoided.
+/// A job that fails by its own fault is given up after two runs, so one job cannot reach three.
+const FAILS_IN_A_ROW: u32 = 3;
+/// Time for which a failing worker is avoided before it is tried again.
+const QUARANTINE: Duration = Duration::from_secs(4);
+/// Silence after which a task that should make progress counts as stalled.
+/// Twice the interval of two looks at a busy worker.
+const STALL: Duration = Duration::from_millis(2500);
+
+/// A worker as the platform's list shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Its name.
+    pub id: InstanceId,
+    /// Where it takes orders.
+    pub addr: SocketAddr,
+    /// Pool that it is in.
+    pub pool: PoolId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its rack; empty if unknown.
+    pub rack: RackId,
+    /// Its labels.
+    pub labels: Vec<Arc<str>>,
+    /// What it can hold.
+    pub capacity: Need,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// Start of its present life, milliseconds since the epoch.
+    pub born_ms: u64,
+}
+
+/// One run of a task on a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RunKey {
+    /// The task.
+    pub task: Ref,
+    /// Number of the run.
+    pub run: u32,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// Recorded or about to be; no order has been sent.
+    Intended,
+    /// Ordered without an answer yet; not started after this time of the worker's clock.
+    Sent {
+        /// The worker's clock, milliseconds.
+        until_ms: u64,
+    },
+    /// Placed by an earlier owner, not yet seen here.
+    Inherited,
+    /// Seen running.
+    Active,
+    /// To be stopped.
+    Stopping,
+}
+
+/// A run that may take place on a worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// How far it is.
+    pub phase: RunPhase,
+    /// Team whose cap it counts against.
+    pub team: TeamId,
+    /// What it takes of the worker.
+    pub reserved: Need,
+    /// What it counts against the cap.
+    pub need: Need,
+    /// The worker's clock when it was last known to run, milliseconds.
+    pub seen_ms: u64,
+    /// Progress in percent.
+    pub percent: u32,
+    /// When the progress last changed.
+    pub progressed: Duration,
+    /// When the stop was last ordered.
+    pub stop_sent: Option<Duration>,
+}
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    worker_ms: u64,
+    read_at: Duration,
+}
+
+/// A worker as the owner of its pool sees it.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Its line of the list.
+    pub listed: Listed,
+    /// Whether the list shows it.
+    pub present: bool,
+    /// Whether it has shown what runs there since this owner took over.
+    pub touched: bool,
+    /// Runs that may take place.
+    pub runs: HashMap<RunKey, Run>,
+    /// What the runs take.
+    pub used: Need,
+    /// Highest end seen.
+    pub seen: u64,
+    /// Highest end that is recorded.
+    pub recorded: u64,
+    /// Whether a look is under way.
+    pub looking: bool,
+    /// When the next look is due.
+    pub next_look: Duration,
+    /// Calls in a row without an answer.
+    pub misses: u32,
+    /// Whether it is to be emptied until a time, for upkeep or a move.
+    pub vacate_until: Duration,
+    clock: Option<Clock>,
+    ended_by: Duration,
+    fails: u32,
+    avoid_until: Duration,
+}
+
+impl Worker {
+    /// A worker that has just been listed. What an earlier owner started there ends by `ended_by`.
+    pub fn new(listed: Listed, ended_by: Duration) -> Worker {
+        Worker {
+            listed,
+            present: true,
+            touched: false,
+            runs: HashMap::new(),
+            used: Need::default(),
+            seen: 0,
+            recorded: 0,
+            looking: false,
+            next_look: Duration::ZERO,
+            misses: 0,
+            vacate_until: Duration::ZERO,
+            clock: None,
+            ended_by,
+            fails: 0,
+            avoid_until: Duration::ZERO,
+        }
+    }
+
+    /// Adds a run.
+    pub fn add(&mut self, key: RunKey, run: Run) {
+        self.used += run.reserved;
+        if let Some(old) = self.runs.insert(key, run) {
+            self.used -= old.reserved;
+        }
+    }
+
+    /// Removes a run that no longer takes place.
+    pub fn remove(&mut self, key: &RunKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        self.used -= run.reserved;
+        Some(run)
+    }
+
+    /// Forgets all runs and the worker's clock: it has started anew, or all has surely ended.
+    pub fn clear(&mut self) -> Vec<RunKey> {
+        self.used = Need::default();
+        self.touched = false;
+        self.clock = None;
+        let keys = self.runs.keys().cloned().collect();
+        self.runs.clear();
+        keys
+    }
+
+    /// Takes a new life of the worker into account.
+    pub fn reborn(&mut self, born_ms: u64) -> Vec<RunKey> {
+        self.listed.born_ms = born_ms;
+        self.seen = 0;
+        self.recorded = 0;
+        self.ended_by = Duration::ZERO;
+        self.clear()
+    }
+
+    /// Notes the worker's clock from an answer.
+    pub fn read_clock(&mut self, worker_ms: u64, now: Duration) {
+        // Answers may overtake each other; an older reading would move the estimate back.
+        if self.clock.is_some_and(|it| worker_ms < it.worker_ms) {
+            return;
+        }
+        self.clock = Some(Clock { worker_ms, read_at: now });
+    }
+
+    /// The worker's clock, estimated from below.
+    pub fn clock_ms(&self, now: Duration) -> Option<u64> {
+        let clock = self.clock?;
+        let elapsed = now.saturating_sub(clock.read_at).as_secs_f64() * CLOCK_RATE;
+        Some(clock.worker_ms + (elapsed * 1000.0) as u64)
+    }
+
+    /// Notes that work may go on until the worker's clock shows `until_ms`.
+    pub fn extend(&mut self, until_ms: u64) {
+        let Some(clock) = self.clock else {
+            return;
+        };
+        let left = until_ms.saturating_sub(clock.worker_ms) as f64 / 1000.0 / CLOCK_RATE;
+        self.ended_by = self.ended_by.max(clock.read_at + Duration::from_secs_f64(left));
+    }
+
+    /// Whether the leases of all that was started here have surely ended.
+    pub fn has_lapsed(&self, now: Duration) -> bool {
+        self.ended_by < now
+    }
+
+    /// Whether new work may go there, apart from what it can hold.
+    pub fn is_open(&self, now: Duration) -> bool {
+        self.present && self.touched && !self.listed.draining && self.misses == 0 && self.vacate_until <= now
+    }
+
+    /// Whether it has been failing what it runs.
+    pub fn is_suspect(&self, now: Duration) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Tasks of one step that may run here.
+    pub fn count_of(&self, job: &Id, turn: u32, step: u16) -> u32 {
+        let same = |it: &&RunKey| it.task.job == *job && it.task.turn == turn && it.task.step == step;
+        self.runs.keys().filter(same).count() as u32
+    }
+
+    /// Takes the end of a run into account. Returns whether the worker became suspect.
+    pub fn judge(&mut self, failed: bool, now: Duration) -> bool {
+        if !failed {
+            self.fails = 0;
+            return false;
+        }
+        self.fails += 1;
+        if self.fails < FAILS_IN_A_ROW {
+            return false;
+        }
+        self.avoid_until = now + QUARANTINE;
+        true
+    }
+
+    /// Notes a task that makes no progress, as a failure.
+    pub fn distrust(&mut self, now: Duration) {
+        self.avoid_until = now + QUARANTINE;
+    }
+}
+
+impl Run {
+    /// Whether it should make progress and makes none.
+    pub fn is_stalled(&self, now: Duration) -> bool {
+        self.phase == RunPhase::Active && self.percent < 100 && self.progressed + STALL < now
+    }
+}
--- /dev/null
+++ b/lib/src/scheduler.rs
@@ -0,0 +1,1301 @@
+//! The owner of a pool: holds its jobs and workers and decides what starts where.
+//!
+//! A pure state machine: it takes events and the clock, and returns actions.
+//! Nothing starts before the record of the intent is in the log, so whoever
+//! owns the pool next finds every run that can exist. Orders carry a token that
+//! rises with each owner, and a time on the worker's clock after which they are void.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+
+use crate::catalog::{Catalog, Queue};
+use crate::clock::Now;
+use crate::durable::{Id, Phase, QueueId, Record, Ref, Request, State};
+use crate::id::{InstanceId, PoolId, TeamId};
+use crate::need::Need;
+use crate::roster::{Listed, Run, RunKey, RunPhase, Worker};
+
+/// Time after which an order to start is void.
+/// Ten times the slowest answer of a healthy worker across zones.
+const START_LIMIT: Duration = Duration::from_millis(1000);
+/// Time for which a look waits for something to end.
+const LOOK_WAIT: Duration = Duration::from_millis(1500);
+/// Least time between two looks at a worker; ends that come within it share a look.
+const LOOK_GAP: Duration = Duration::from_millis(60);
+/// Least time between two looks while the log takes no records.
+const LOOK_GAP_UNRECORDED: Duration = Duration::from_millis(500);
+/// Time to the next try at a worker that did not answer.
+const RETRY: Duration = Duration::from_millis(400);
+/// Least time between two commits; what comes in between shares one.
+const COMMIT_GAP: Duration = Duration::from_millis(25);
+/// Time after which an unanswered stop is ordered again.
+const STOP_AGAIN: Duration = Duration::from_millis(500);
+/// Ended jobs are forgotten after this; callers may ask for 120 s.
+const KEEP_ENDED: Duration = Duration::from_secs(150);
+/// Requests that are recorded as jobs are removed from the log together after this.
+const FORGET_GAP: Duration = Duration::from_secs(3);
+/// Ends that a worker lists at once; a full page may hide others.
+const ENDS_PAGE: usize = 500;
+/// Time to wait after a worker rejected a task for want of room.
+const ROOM_RETRY: Duration = Duration::from_millis(200);
+
+/// Time limits that hold for one owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Length of leases.
+    pub lease: Duration,
+    /// Time after the last proof of ownership during which leases are renewed.
+    pub term: Duration,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum How {
+    /// It did its work.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease ended.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited in vain for the others of its gang.
+    Alone,
+}
+
+/// An end as a worker lists it.
+#[derive(Clone, Debug)]
+pub struct End {
+    /// Its number on that worker.
+    pub number: u64,
+    /// The run.
+    pub key: RunKey,
+    /// How it ended.
+    pub how: How,
+    /// Progress to resume from; empty for none.
+    pub checkpoint: Arc<str>,
+}
+
+/// A run as a worker lists it.
+#[derive(Clone, Debug)]
+pub struct Active {
+    /// The run.
+    pub key: RunKey,
+    /// Progress saved so far; empty for none.
+    pub checkpoint: Arc<str>,
+    /// Progress; 100 for a lasting task that is at work.
+    pub percent: u32,
+    /// Response time of a lasting task in milliseconds, or the processor that another one uses.
+    pub figure: Option<u64>,
+}
+
+/// What a worker showed of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Look {
+    /// Its clock, milliseconds.
+    pub clock_ms: u64,
+    /// Start of its life, milliseconds since the epoch; zero if it did not say.
+    pub born_ms: u64,
+    /// What runs there.
+    pub active: Vec<Active>,
+    /// What ended there and is not recorded yet.
+    pub ended: Vec<End>,
+}
+
+/// A worker's answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is done, or was before.
+    Done {
+        /// The worker's clock, milliseconds.
+        clock_ms: u64,
+    },
+    /// It was certainly not done.
+    Refused(Refusal),
+    /// It may have been done, or may still be.
+    Lost,
+}
+
+/// Why a worker did not carry out an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Refusal {
+    /// A later owner has given orders.
+    Fenced,
+    /// A later run is known there.
+    Old,
+    /// The order came after its time.
+    Late,
+    /// No room.
+    Room,
+    /// The advice that it carried does not hold.
+    Ticket,
+    /// The worker is another one, or a new life of it.
+    Instance,
+    /// The worker is unhealthy.
+    Unhealthy,
+    /// The worker cannot read the order.
+    Malformed,
+    /// No connection could be opened.
+    Unreachable,
+}
+
+/// An order to start a run.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The worker.
+    pub worker: InstanceId,
+    /// The run.
+    pub key: RunKey,
+    /// Payload of the job.
+    pub payload: Arc<str>,
+    /// Progress to resume from; empty for none.
+    pub checkpoint: Arc<str>,
+    /// The worker's clock after which the order is void, milliseconds.
+    pub until_ms: u64,
+    /// Advice for queues that need it.
+    pub ticket: Option<Arc<str>>,
+}
+
+/// What is to be done outside.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Append records under the owner's epoch, and say when they are in.
+    Commit(Vec<(Id, Option<Bytes>)>),
+    /// Remove requests that stand in the log as jobs.
+    Forget(Vec<Id>),
+    /// Order a start.
+    Start(Start),
+    /// Order a stop.
+    Stop {
+        /// The worker.
+        worker: InstanceId,
+        /// The run.
+        key: RunKey,
+    },
+    /// Look at a worker, renewing leases.
+    Look {
+        /// The worker.
+        worker: InstanceId,
+        /// Ends up to here are recorded.
+        recorded: u64,
+        /// The worker's clock until which leases are renewed, milliseconds; `None` renews nothing.
+        until_ms: Option<u64>,
+        /// Time to wait for an end.
+        wait: Duration,
+    },
+    /// Write a line to the decision log.
+    Note(Note),
+}
+
+/// A decision worth a line in the log.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "decision", rename_all = "snake_case")]
+pub enum Note {
+    /// A job was taken over from a request in the log.
+    Admitted {
+        /// The job.
+        job: Id,
+        /// Its queue.
+        queue: QueueId,
+        /// Its team.
+        team: TeamId,
+        /// Its tasks.
+        tasks: usize,
+    },
+    /// A task was given to a worker.
+    Placed {
+        /// The job.
+        job: Id,
+        /// Task as occurrence, step, number.
+        task: (u32, u16, u32),
+        /// Number of the run.
+        run: u32,
+        /// The worker.
+        worker: InstanceId,
+        /// Free processor there before, thousandths of a core.
+        free_cpu: u64,
+        /// Age of the job, milliseconds.
+        age_ms: u64,
+        /// Version of the configuration.
+        config: u64,
+    },
+    /// A run ended or turned out not to take place.
+    Ended {
+        /// The job.
+        job: Id,
+        /// Task as occurrence, step, number.
+        task: (u32, u16, u32),
+        /// Number of the run.
+        run: u32,
+        /// The worker.
+        worker: InstanceId,
+        /// How it ended.
+        how: &'static str,
+    },
+    /// A job reached its end.
+    Closed {
+        /// The job.
+        job: Id,
+        /// How.
+        phase: &'static str,
+        /// Age, milliseconds.
+        age_ms: u64,
+        /// Time allowed by its queue's objective, milliseconds.
+        objective_ms: u64,
+    },
+    /// An order was refused.
+    Refused {
+        /// The job.
+        job: Id,
+        /// Number of the run.
+        run: u32,
+        /// The worker.
+        worker: InstanceId,
+        /// Why.
+        reason: Refusal,
+    },
+    /// A worker stopped answering, or answers again.
+    Contact {
+        /// The worker.
+        worker: InstanceId,
+        /// Whether it answers.
+        answers: bool,
+        /// Runs that may take place there.
+        runs: usize,
+    },
+    /// A worker is avoided because of what it fails.
+    Suspect {
+        /// The worker.
+        worker: InstanceId,
+        /// What it did.
+        why: &'static str,
+    },
+}
+
+/// A job and what is only needed while it is owned.
+#[derive(Debug)]
+pub(crate) struct Tracked {
+    pub(crate) record: Record,
+    /// Phase that is in the log.
+    durable: Phase,
+    /// Whether the log has a record of the job.
+    stored: bool,
+}
+
+#[derive(Debug, Default)]
+struct Batch {
+    jobs: Vec<(Id, Phase)>,
+    intents: Vec<(InstanceId, RunKey)>,
+    recorded: Vec<(InstanceId, u64, u64)>,
+}
+
+/// The owner of pools that share a partition of the log.
+#[derive(Debug)]
+pub struct Scheduler {
+    bounds: Bounds,
+    acquired: Duration,
+    proven: Duration,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) jobs: HashMap<Id, Tracked>,
+    pub(crate) open: BTreeSet<Id>,
+    pub(crate) workers: HashMap<InstanceId, Worker>,
+    pub(crate) usage: HashMap<TeamId, Need>,
+    grants: HashMap<TeamId, Need>,
+    cancels: HashSet<Id>,
+    dirty: BTreeSet<Id>,
+    removed: Vec<Id>,
+    pub(crate) intents: Vec<(InstanceId, RunKey)>,
+    in_flight: Option<Batch>,
+    last_commit: Duration,
+    forget: Vec<Id>,
+    last_forget: Duration,
+    fenced: bool,
+    pub(crate) room_retry: Duration,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Scheduler {
+    /// An owner that has just set its epoch in the log.
+    pub fn new(bounds: Bounds, now: Now) -> Scheduler {
+        Scheduler {
+            bounds,
+            acquired: now.mono,
+            proven: now.mono,
+            catalog: Arc::default(),
+            jobs: HashMap::new(),
+            open: BTreeSet::new(),
+            workers: HashMap::new(),
+            usage: HashMap::new(),
+            grants: HashMap::new(),
+            cancels: HashSet::new(),
+            dirty: BTreeSet::new(),
+            removed: Vec::new(),
+            intents: Vec::new(),
+            in_flight: None,
+            last_commit: Duration::ZERO,
+            forget: Vec::new(),
+            last_forget: now.mono,
+            fenced: false,
+            room_retry: Duration::ZERO,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes a job over from the log. To be called for all jobs before workers are set.
+    pub fn load(&mut self, id: Id, record: Record) {
+        if record.phase == Phase::Open {
+            self.open.insert(id.clone());
+        }
+        let durable = record.phase;
+        self.jobs.insert(
+            id,
+            Tracked {
+                record,
+                durable,
+                stored: true,
+            },
+        );
+    }
+
+    /// Takes a request from the log; repeats change nothing.
+    pub fn request(&mut self, now: Now, id: Id, request: Request) {
+        match request {
+            Request::Submit(submission) => {
+                if self.jobs.contains_key(&id) {
+                    self.forget.push(id);
+                    return;
+                }
+                self.note(Note::Admitted {
+                    job: id.clone(),
+                    queue: submission.queue.clone(),
+                    team: submission.team.clone(),
+                    tasks: submission.spec.width(),
+                });
+                let tracked = Tracked {
+                    record: Record::new(submission),
+                    durable: Phase::Open,
+                    stored: false,
+                };
+                self.jobs.insert(id.clone(), tracked);
+                self.open.insert(id.clone());
+                if self.cancels.remove(&id) {
+                    self.close(now, &id, Phase::Cancelled);
+                }
+            }
+            Request::Cancel { .. } => match self.jobs.contains_key(&id) {
+                true => self.close(now, &id, Phase::Cancelled),
+                // The two requests may be read in either order.
+                false => {
+                    self.cancels.insert(id);
+                }
+            },
+        }
+    }
+
+    /// Sets the configuration in force.
+    pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+        self.catalog = catalog;
+    }
+
+    /// Sets what each team may have running in these pools.
+    pub fn set_grants(&mut self, grants: HashMap<TeamId, Need>) {
+        self.grants = grants;
+    }
+
+    /// Notes that the log confirmed this owner.
+    pub fn prove(&mut self, at: Duration) {
+        self.proven = self.proven.max(at);
+    }
+
+    /// Whether a later owner has been seen.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Sets the workers that the platform lists for these pools.
+    pub fn set_workers(&mut self, now: Now, listed: Vec<Listed>) {
+        let mut gone: HashSet<InstanceId> = self.workers.keys().cloned().collect();
+        // An earlier owner may have renewed leases until its own term ended.
+        let inherited_end = self.acquired + self.bounds.term + self.bounds.lease.mul_f64(1.03) + START_LIMIT;
+        for line in listed {
+            gone.remove(&line.id);
+            let Some(worker) = self.workers.get_mut(&line.id) else {
+                let mut worker = Worker::new(line.clone(), inherited_end);
+                self.inherit(&mut worker);
+                self.workers.insert(line.id, worker);
+                continue;
+            };
+            worker.present = true;
+            if worker.listed.born_ms < line.born_ms {
+                let lost = worker.reborn(line.born_ms);
+                worker.listed = line.clone();
+                self.lose(now, &line.id, lost, "reborn");
+            } else if worker.listed.born_ms == line.born_ms {
+                worker.listed = line;
+            }
+        }
+        for id in gone {
+            let worker = self.workers.get_mut(&id).expect("names come from the map");
+            worker.present = false;
+            if worker.runs.is_empty() && !worker.looking {
+                self.workers.remove(&id);
+            }
+        }
+    }
+
+    /// Workers named by records but not listed: their runs may go on until the leases end.
+    pub fn inherit_unlisted(&mut self) {
+        let mut missing: BTreeSet<InstanceId> = BTreeSet::new();
+        for id in &self.open {
+            for task in &self.jobs[id].record.tasks {
+                if let State::Placed(worker) = &task.state
+                    && !self.workers.contains_key(worker)
+                {
+                    missing.insert(worker.clone());
+                }
+            }
+        }
+        let ended_by = self.acquired + self.bounds.term + self.bounds.lease.mul_f64(1.03) + START_LIMIT;
+        for id in missing {
+            let listed = Listed {
+                id: id.clone(),
+                addr: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
+                pool: PoolId::from(""),
+                zone: Arc::from(""),
+                rack: Arc::from(""),
+                labels: Vec::new(),
+                capacity: Need::default(),
+                draining: true,
+                born_ms: 0,
+            };
+            let mut worker = Worker::new(listed, ended_by);
+            worker.present = false;
+            self.inherit(&mut worker);
+            self.workers.insert(id, worker);
+        }
+    }
+
+    /// Adds the runs that records place on a worker.
+    fn inherit(&mut self, worker: &mut Worker) {
+        for id in &self.open {
+            let record = &self.jobs[id].record;
+            for (task, position) in refs(id, record) {
+                let state = &record.tasks[position];
+                if state.state != State::Placed(worker.listed.id.clone()) {
+                    continue;
+                }
+                let step = record.step(task.step);
+                let run = Run {
+                    phase: RunPhase::Inherited,
+                    team: record.submission.team.clone(),
+                    reserved: step.reserved(),
+                    need: step.need,
+                    seen_ms: 0,
+                    percent: 0,
+                    progressed: self.acquired,
+                    stop_sent: None,
+                };
+                *self.usage.entry(run.team.clone()).or_default() += run.need;
+                worker.add(RunKey { task, run: state.run }, run);
+            }
+        }
+    }
+
+    /// Takes in what a worker showed.
+    pub fn looked(&mut self, now: Now, id: &InstanceId, look: Look) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.looking = false;
+        if worker.listed.born_ms < look.born_ms {
+            let lost = worker.reborn(look.born_ms);
+            self.lose(now, id, lost, "reborn");
+        } else if look.born_ms != 0 && look.born_ms < worker.listed.born_ms {
+            // An answer of an earlier life.
+            return;
+        }
+        self.answered(now, id);
+        let worker = self.workers.get_mut(id).expect("looked up above");
+        worker.touched = true;
+        worker.read_clock(look.clock_ms, now.mono);
+        let whole = look.ended.len() < ENDS_PAGE;
+        for end in look.ended {
+            let worker = self.workers.get_mut(id).expect("looked up above");
+            if end.number <= worker.seen {
+                continue;
+            }
+            worker.seen = end.number;
+            self.ended(now, id, end);
+        }
+        let mut listed = HashSet::new();
+        for active in look.active {
+            listed.insert(active.key.clone());
+            self.active(now, id, look.clock_ms, active);
+        }
+        if whole {
+            self.settle(now, id, look.clock_ms, &listed);
+        }
+        self.stop_stalled(now, id);
+        let worker = self.workers.get_mut(id).expect("looked up above");
+        worker.next_look = now.mono + LOOK_GAP;
+    }
+
+    /// Notes that a look brought no answer.
+    pub fn look_failed(&mut self, now: Now, id: &InstanceId, answer: Answer) {
+        if answer == Answer::Refused(Refusal::Fenced) {
+            self.fenced = true;
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.looking = false;
+        worker.next_look = now.mono + RETRY;
+        if answer == Answer::Refused(Refusal::Instance) {
+            // The list will show the new life.
+            worker.touched = false;
+        }
+        self.missed(id);
+    }
+
+    fn missed(&mut self, id: &InstanceId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.misses += 1;
+        if worker.misses == 1 {
+            let runs = worker.runs.len();
+            self.note(Note::Contact {
+                worker: id.clone(),
+                answers: false,
+                runs,
+            });
+        }
+    }
+
+    fn answered(&mut self, _now: Now, id: &InstanceId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.misses != 0 {
+            worker.misses = 0;
+            let runs = worker.runs.len();
+            self.note(Note::Contact {
+                worker: id.clone(),
+                answers: true,
+                runs,
+            });
+        }
+    }
+
+    /// Takes in a run that a worker lists.
+    fn active(&mut self, now: Now, id: &InstanceId, clock_ms: u64, active: Active) {
+        let wanted = self.is_wanted(id, &active.key);
+        let worker = self.workers.get_mut(id).expect("the caller looked it up");
+        if let Some(run) = worker.runs.get_mut(&active.key) {
+            run.seen_ms = run.seen_ms.max(clock_ms);
+            if run.percent != active.percent || run.phase != RunPhase::Active {
+                run.percent = active.percent;
+                run.progressed = now.mono;
+            }
+            if run.phase != RunPhase::Stopping {
+                run.phase = if wanted { RunPhase::Active } else { RunPhase::Stopping };
+            }
+        } else {
+            // Started by an earlier owner, or late; it takes room until it is stopped.
+            let (team, reserved, need) = self.describe(&active.key);
+            let run = Run {
+                phase: RunPhase::Stopping,
+                team: team.clone(),
+                reserved,
+                need,
+                seen_ms: clock_ms,
+                percent: active.percent,
+                progressed: now.mono,
+                stop_sent: None,
+            };
+            *self.usage.entry(team).or_default() += need;
+            self.workers.get_mut(id).expect("the caller looked it up").add(active.key.clone(), run);
+        }
+        if wanted
+            && !active.checkpoint.is_empty()
+            && let Some(tracked) = self.jobs.get_mut(&active.key.task.job)
+            && let Some(position) = tracked.record.position(&active.key.task)
+        {
+            tracked.record.tasks[position].checkpoint = active.checkpoint;
+        }
+    }
+
+    /// Whether a run is the one that the task's record names, on this worker.
+    fn is_wanted(&self, id: &InstanceId, key: &RunKey) -> bool {
+        let Some(tracked) = self.jobs.get(&key.task.job) else {
+            return false;
+        };
+        let Some(position) = tracked.record.position(&key.task) else {
+            return false;
+        };
+        let task = &tracked.record.tasks[position];
+        tracked.record.phase == Phase::Open && task.run == key.run && task.state == State::Placed(id.clone())
+    }
+
+    fn describe(&self, key: &RunKey) -> (TeamId, Need, Need) {
+        let Some(tracked) = self.jobs.get(&key.task.job) else {
+            return (TeamId::from(""), Need::default(), Need::default());
+        };
+        let record = &tracked.record;
+        let Some(step) = record.spec().steps.get(usize::from(key.task.step)) else {
+            return (record.submission.team.clone(), Need::default(), Need::default());
+        };
+        (record.submission.team.clone(), step.reserved(), step.need)
+    }
+
+    /// Settles runs that a worker does not list.
+    fn settle(&mut self, now: Now, id: &InstanceId, clock_ms: u64, listed: &HashSet<RunKey>) {
+        let worker = self.workers.get_mut(id).expect("the caller looked it up");
+        let is_gone = |run: &Run| match run.phase {
+            RunPhase::Intended => false,
+            // Past its time the order is void, whenever it arrives.
+            RunPhase::Sent { until_ms } => until_ms < clock_ms,
+            // Orders of earlier owners are void since this one was heard there.
+            RunPhase::Inherited => true,
+            // A look that was answered before the start is no evidence.
+            RunPhase::Active | RunPhase::Stopping => run.seen_ms < clock_ms,
+        };
+        let gone: Vec<RunKey> = worker
+            .runs
+            .iter()
+            .filter(|(key, run)| !listed.contains(key) && is_gone(run))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in gone {
+            self.release(id, &key);
+            self.revert(now, id, &key, "not_listed");
+        }
+    }
+
+    /// Stops runs that make no progress, so that they go on elsewhere.
+    fn stop_stalled(&mut self, now: Now, id: &InstanceId) {
+        let worker = self.workers.get_mut(id).expect("the caller looked it up");
+        let jobs = &self.jobs;
+        let mut stalled = 0;
+        for (key, run) in &mut worker.runs {
+            let Some(tracked) = jobs.get(&key.task.job) else {
+                continue;
+            };
+            let step = tracked.record.step(key.task.step);
+            if run.is_stalled(now.mono) && !step.gang && !step.fill && !step.lasting {
+                run.phase = RunPhase::Stopping;
+                stalled += 1;
+            }
+        }
+        if 0 < stalled {
+            worker.distrust(now.mono);
+            self.note(Note::Suspect {
+                worker: id.clone(),
+                why: "tasks make no progress",
+            });
+        }
+    }
+
+    /// Takes in an end.
+    fn ended(&mut self, now: Now, id: &InstanceId, end: End) {
+        self.release(id, &end.key);
+        let how = match end.how {
+            How::Done => "done",
+            How::Failed => "failed",
+            How::Stopped => "stopped",
+            How::Lapsed => "lapsed",
+            How::Broken => "broken",
+            How::Alone => "alone",
+        };
+        self.note_end(id, &end.key, how);
+        if !self.is_wanted(id, &end.key) {
+            return;
+        }
+        let worker = self.workers.get_mut(id).expect("the caller looked it up");
+        let judged = matches!(end.how, How::Done | How::Failed);
+        if judged && worker.judge(end.how == How::Failed, now.mono) {
+            self.note(Note::Suspect {
+                worker: id.clone(),
+                why: "runs fail one after the other",
+            });
+        }
+        let attempts = self.attempts(&end.key.task.job);
+        let job = end.key.task.job.clone();
+        let tracked = self.jobs.get_mut(&job).expect("a wanted run has a job");
+        let record = &mut tracked.record;
+        let position = record.position(&end.key.task).expect("a wanted run has a task");
+        let (lasting, gang) = {
+            let step = record.step(end.key.task.step);
+            (step.lasting, step.gang)
+        };
+        let task = &mut record.tasks[position];
+        if !end.checkpoint.is_empty() {
+            task.checkpoint = end.checkpoint.clone();
+        }
+        let mut failed = false;
+        match end.how {
+            // A lasting task is run again however it ends.
+            How::Done if lasting => task.state = State::Waiting,
+            How::Done => task.state = State::Done,
+            How::Failed => {
+                task.fails += 1;
+                task.state = State::Waiting;
+                failed = !lasting && attempts <= task.fails;
+            }
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => task.state = State::Waiting,
+        }
+        if gang {
+            self.end_gang(&end);
+        }
+        let tracked = self.jobs.get_mut(&job).expect("a wanted run has a job");
+        tracked.record.complete_if_done(now.wall_ms());
+        let completed = tracked.record.phase == Phase::Completed;
+        self.dirty.insert(job.clone());
+        if failed {
+            self.close(now, &job, Phase::Failed);
+        } else if completed {
+            self.closed(now, &job);
+        }
+    }
+
+    /// One member's end stands for its whole gang.
+    fn end_gang(&mut self, end: &End) {
+        let Some(tracked) = self.jobs.get_mut(&end.key.task.job) else {
+            return;
+        };
+        let record = &mut tracked.record;
+        let first = record.first(end.key.task.turn, usize::from(end.key.task.step));
+        let count = record.step(end.key.task.step).count;
+        let mut over = Vec::new();
+        for index in 0..count {
+            let task = &mut record.tasks[first + index as usize];
+            if !end.checkpoint.is_empty() {
+                task.checkpoint = end.checkpoint.clone();
+            }
+            if end.how == How::Failed && index != end.key.task.index {
+                // The gang's run failed, whichever member listed it.
+                task.fails = task.fails.max(1);
+            }
+            if end.how == How::Done && task.run == end.key.run {
+                task.state = State::Done;
+                over.push(RunKey {
+                    task: Ref { index, ..end.key.task.clone() },
+                    run: task.run,
+                });
+            }
+        }
+        let ids: Vec<InstanceId> = self.workers.keys().cloned().collect();
+        for key in over {
+            for id in &ids {
+                self.release(id, &key);
+            }
+        }
+    }
+
+    /// Ends a job and stops what runs of it.
+    fn close(&mut self, now: Now, id: &Id, phase: Phase) {
+        let Some(tracked) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if tracked.record.phase != Phase::Open {
+            self.dirty.insert(id.clone());
+            return;
+        }
+        tracked.record.end(phase, now.wall_ms());
+        self.dirty.insert(id.clone());
+        for worker in self.workers.values_mut() {
+            for (key, run) in &mut worker.runs {
+                if key.task.job == *id && run.phase != RunPhase::Intended {
+                    run.phase = RunPhase::Stopping;
+                }
+            }
+        }
+        self.closed(now, id);
+    }
+
+    fn closed(&mut self, now: Now, id: &Id) {
+        self.open.remove(id);
+        let record = &self.jobs[id].record;
+        let phase = match record.phase {
+            Phase::Open => "open",
+            Phase::Completed => "completed",
+            Phase::Failed => "failed",
+            Phase::Cancelled => "cancelled",
+        };
+        let note = Note::Closed {
+            job: id.clone(),
+            phase,
+            age_ms: now.wall_ms().saturating_sub(record.submission.received_ms),
+            objective_ms: self.objective_ms(record),
+        };
+        self.note(note);
+    }
+
+    fn attempts(&self, job: &Id) -> u32 {
+        let queue = self.jobs.get(job).and_then(|it| self.queue(&it.record));
+        queue.map_or(u32::MAX, |it| it.attempts.max(1))
+    }
+
+    pub(crate) fn queue(&self, record: &Record) -> Option<&Queue> {
+        self.catalog.queues.get(&record.submission.queue).map(|it| &**it)
+    }
+
+    /// Time from arrival within which the job is wanted, milliseconds.
+    pub(crate) fn objective_ms(&self, record: &Record) -> u64 {
+        let (stretch, target) = self.queue(record).map_or((1.0, 0), |it| (it.stretch, it.target_ms));
+        (record.spec().chain_ms() as f64 * stretch) as u64 + target
+    }
+
+    /// Frees what a run took.
+    fn release(&mut self, id: &InstanceId, key: &RunKey) -> Option<Run> {
+        let run = self.workers.get_mut(id)?.remove(key)?;
+        if let Some(usage) = self.usage.get_mut(&run.team) {
+            *usage -= run.need;
+        }
+        Some(run)
+    }
+
+    /// Lets a task run again after its run turned out not to take place.
+    fn revert(&mut self, _now: Now, id: &InstanceId, key: &RunKey, how: &'static str) {
+        self.note_end(id, key, how);
+        if !self.is_wanted(id, key) {
+            return;
+        }
+        let tracked = self.jobs.get_mut(&key.task.job).expect("a wanted run has a job");
+        let position = tracked.record.position(&key.task).expect("a wanted run has a task");
+        tracked.record.tasks[position].state = State::Waiting;
+        self.dirty.insert(key.task.job.clone());
+    }
+
+    /// Lets everything run again that was on a worker.
+    fn lose(&mut self, now: Now, id: &InstanceId, keys: Vec<RunKey>, how: &'static str) {
+        for key in keys {
+            let (team, _, need) = self.describe(&key);
+            if let Some(usage) = self.usage.get_mut(&team) {
+                *usage -= need;
+            }
+            self.revert(now, id, &key, how);
+        }
+    }
+
+    fn note_end(&mut self, id: &InstanceId, key: &RunKey, how: &'static str) {
+        self.note(Note::Ended {
+            job: key.task.job.clone(),
+            task: (key.task.turn, key.task.step, key.task.index),
+            run: key.run,
+            worker: id.clone(),
+            how,
+        });
+    }
+
+    /// Takes in the answer to an order to start.
+    pub fn started(&mut self, now: Now, id: &InstanceId, key: &RunKey, answer: Answer) {
+        match answer {
+            Answer::Done { clock_ms } => {
+                self.answered(now, id);
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.read_clock(clock_ms, now.mono);
+                    if let Some(run) = worker.runs.get_mut(key) {
+                        run.seen_ms = run.seen_ms.max(clock_ms);
+                        run.progressed = now.mono;
+                        if matches!(run.phase, RunPhase::Sent { .. }) {
+                            run.phase = RunPhase::Active;
+                        }
+                    }
+                }
+            }
+            Answer::Lost => self.missed(id),
+            Answer::Refused(reason) => self.start_refused(now, id, key, reason),
+        }
+    }
+
+    fn start_refused(&mut self, now: Now, id: &InstanceId, key: &RunKey, reason: Refusal) {
+        self.note(Note::Refused {
+            job: key.task.job.clone(),
+            run: key.run,
+            worker: id.clone(),
+            reason,
+        });
+        match reason {
+            Refusal::Fenced => {
+                self.fenced = true;
+                return;
+            }
+            Refusal::Room => self.room_retry = now.mono + ROOM_RETRY,
+            Refusal::Unhealthy => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.distrust(now.mono);
+                }
+            }
+            Refusal::Instance | Refusal::Unreachable => {
+                self.missed(id);
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.next_look = now.mono;
+                }
+            }
+            Refusal::Old | Refusal::Late | Refusal::Ticket | Refusal::Malformed => {}
+        }
+        let stopping = self.workers.get(id).and_then(|it| it.runs.get(key)).is_some();
+        if stopping {
+            self.release(id, key);
+            self.revert(now, id, key, "not_started");
+        }
+    }
+
+    /// Takes in the answer to an order to stop; the end itself is listed.
+    pub fn stopped(&mut self, now: Now, id: &InstanceId, answer: Answer) {
+        match answer {
+            Answer::Done { clock_ms } => {
+                self.answered(now, id);
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.read_clock(clock_ms, now.mono);
+                }
+            }
+            Answer::Refused(Refusal::Fenced) => self.fenced = true,
+            Answer::Refused(_) => {}
+            Answer::Lost => self.missed(id),
+        }
+    }
+
+    /// Notes that the records of the last commit are in the log.
+    pub fn committed(&mut self, now: Now) {
+        let Some(batch) = self.in_flight.take() else {
+            return;
+        };
+        self.prove(self.last_commit);
+        for (id, phase) in batch.jobs {
+            let Some(tracked) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            tracked.durable = phase;
+            if !tracked.stored {
+                tracked.stored = true;
+                self.forget.push(id);
+            }
+        }
+        for (id, seen, born_ms) in batch.recorded {
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.listed.born_ms == born_ms
+            {
+                worker.recorded = worker.recorded.max(seen);
+            }
+        }
+        for (id, key) in batch.intents {
+            self.start(now, id, key);
+        }
+    }
+
+    /// Orders a start whose intent is in the log, if it is still wanted.
+    fn start(&mut self, now: Now, id: InstanceId, key: RunKey) {
+        let wanted = self.is_wanted(&id, &key);
+        let out = |it: &Worker| self.catalog.zones_out.contains(&it.listed.zone);
+        let worker = self.workers.get(&id);
+        let intended = worker.is_some_and(|it| it.runs.get(&key).is_some_and(|run| run.phase == RunPhase::Intended));
+        if !intended {
+            return;
+        }
+        let clock_ms = worker.and_then(|it| it.clock_ms(now.mono));
+        let open = worker.is_some_and(|it| it.is_open(now.mono) && !out(it));
+        let (true, true, Some(clock_ms)) = (wanted, open, clock_ms) else {
+            self.release(&id, &key);
+            self.revert(now, &id, &key, "not_sent");
+            return;
+        };
+        let until_ms = clock_ms + START_LIMIT.as_millis() as u64;
+        let worker = self.workers.get_mut(&id).expect("looked up above");
+        worker.extend(until_ms);
+        worker.next_look = worker.next_look.min(now.mono + LOOK_GAP);
+        let run = worker.runs.get_mut(&key).expect("looked up above");
+        run.phase = RunPhase::Sent { until_ms };
+        let record = &self.jobs[&key.task.job].record;
+        let position = record.position(&key.task).expect("a wanted run has a task");
+        let start = Start {
+            worker: id,
+            payload: record.spec().payload.clone(),
+            checkpoint: record.tasks[position].checkpoint.clone(),
+            until_ms,
+            ticket: None,
+            key,
+        };
+        self.actions.push(Action::Start(start));
+    }
+
+    /// Decides what is to be done now.
+    pub fn poll(&mut self, now: Now) -> Vec<Action> {
+        if self.fenced {
+            return std::mem::take(&mut self.actions);
+        }
+        self.lapse(now);
+        self.place(now);
+        self.stop(now);
+        self.look(now);
+        self.forget(now);
+        self.commit(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Gives up runs on silent workers whose leases have ended.
+    fn lapse(&mut self, now: Now) {
+        let is_over = |it: &Worker| it.has_lapsed(now.mono) && (it.misses != 0 || !it.present) && !it.runs.is_empty();
+        let over: Vec<InstanceId> = self.workers.values().filter(|it| is_over(it)).map(|it| it.listed.id.clone()).collect();
+        for id in over {
+            let worker = self.workers.get_mut(&id).expect("names come from the map");
+            let lost = worker.clear();
+            self.lose(now, &id, lost, "lease_over");
+        }
+    }
+
+    /// Orders stops.
+    fn stop(&mut self, now: Now) {
+        for worker in self.workers.values_mut() {
+            if !worker.touched || worker.misses != 0 {
+                continue;
+            }
+            for (key, run) in &mut worker.runs {
+                let due = run.stop_sent.is_none_or(|it| it + STOP_AGAIN <= now.mono);
+                if run.phase == RunPhase::Stopping && due {
+                    run.stop_sent = Some(now.mono);
+                    self.actions.push(Action::Stop {
+                        worker: worker.listed.id.clone(),
+                        key: key.clone(),
+                    });
+                }
+            }
+        }
+    }
+
+    /// Looks at workers where something may run or has ended, and at new ones.
+    fn look(&mut self, now: Now) {
+        let blocked = self.in_flight.is_some() && self.last_commit + LOOK_GAP_UNRECORDED < now.mono;
+        let renews = now.mono < self.proven + self.bounds.term;
+        for worker in self.workers.values_mut() {
+            let runs = worker.runs.values().any(|it| it.phase != RunPhase::Intended);
+            let due = !worker.touched || runs || worker.recorded < worker.seen;
+            if worker.looking || !due || now.mono < worker.next_look || worker.listed.addr.port() == 0 {
+                continue;
+            }
+            // Ends that are not recorded yet would be listed again at once.
+            if worker.recorded < worker.seen && !blocked && worker.misses == 0 {
+                continue;
+            }
+            let until_ms = worker.clock_ms(now.mono).map(|it| it + self.bounds.lease.as_millis() as u64);
+            let until_ms = until_ms.filter(|_| renews && runs);
+            if let Some(until_ms) = until_ms {
+                worker.extend(until_ms);
+            }
+            worker.looking = true;
+            if blocked {
+                worker.next_look = now.mono + LOOK_GAP_UNRECORDED;
+            }
+            let wait = match worker.touched && runs && !blocked {
+                true => LOOK_WAIT,
+                false => Duration::ZERO,
+            };
+            self.actions.push(Action::Look {
+                worker: worker.listed.id.clone(),
+                recorded: worker.recorded,
+                until_ms,
+                wait,
+            });
+        }
+    }
+
+    /// Removes requests that stand in the log as jobs, and jobs that ended long ago.
+    fn forget(&mut self, now: Now) {
+        if now.mono < self.last_forget + FORGET_GAP {
+            return;
+        }
+        self.last_forget = now.mono;
+        if !self.forget.is_empty() {
+            let ids = std::mem::take(&mut self.forget);
+            self.actions.push(Action::Forget(ids));
+        }
+        let keep_ms = KEEP_ENDED.as_millis() as u64;
+        let is_old = |it: &Tracked| it.durable != Phase::Open && it.record.ended_ms + keep_ms < now.wall_ms();
+        let old: Vec<Id> = self.jobs.iter().filter(|(_, it)| is_old(it)).map(|(id, _)| id.clone()).collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.removed.push(id);
+        }
+    }
+
+    /// Appends what has changed, one commit at a time.
+    fn commit(&mut self, now: Now) {
+        let idle = self.dirty.is_empty() && self.removed.is_empty();
+        if self.in_flight.is_some() || now.mono < self.last_commit + COMMIT_GAP {
+            return;
+        }
+        let mut batch = Batch::default();
+        for worker in self.workers.values_mut() {
+            if worker.recorded < worker.seen {
+                match idle {
+                    // Nothing of these ends has to be kept.
+                    true => worker.recorded = worker.seen,
+                    false => batch.recorded.push((worker.listed.id.clone(), worker.seen, worker.listed.born_ms)),
+                }
+            }
+        }
+        if idle {
+            return;
+        }
+        let mut records = Vec::new();
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(tracked) = self.jobs.get(&id) else {
+                continue;
+            };
+            let encoded = rmp_serde::to_vec(&tracked.record).expect("records can be encoded");
+            batch.jobs.push((id.clone(), tracked.record.phase));
+            records.push((id, Some(Bytes::from(encoded))));
+        }
+        records.extend(self.removed.drain(..).map(|id| (id, None)));
+        batch.intents = std::mem::take(&mut self.intents);
+        self.in_flight = Some(batch);
+        self.last_commit = now.mono;
+        self.actions.push(Action::Commit(records));
+    }
+
+    /// When `poll` should be called again although nothing happens.
+    pub fn next_poll(&self, now: Now) -> Duration {
+        let looks = self.workers.values().filter(|it| !it.looking).map(|it| it.next_look);
+        let next = looks.filter(|it| now.mono < *it).min().unwrap_or(now.mono + LOOK_WAIT);
+        let commit = match self.in_flight.is_none() && !self.dirty.is_empty() {
+            true => self.last_commit + COMMIT_GAP,
+            false => next,
+        };
+        next.min(commit).clamp(now.mono + Duration::from_millis(5), now.mono + Duration::from_millis(250))
+    }
+
+    /// A job's state as the log has it; `None` if it is not known here.
+    pub fn status(&self, id: &Id) -> Option<Status> {
+        let tracked = self.jobs.get(id)?;
+        Some(match tracked.durable {
+            Phase::Completed => Status::Completed,
+            Phase::Failed => Status::Failed,
+            Phase::Cancelled => Status::Cancelled,
+            Phase::Open if tracked.record.is_untouched() => Status::Queued,
+            Phase::Open => Status::Running,
+        })
+    }
+
+    /// Jobs of a queue of which no task has been placed.
+    pub fn pending(&self, queue: &QueueId) -> u64 {
+        let jobs = self.open.iter().map(|it| &self.jobs[it].record);
+        jobs.filter(|it| it.submission.queue == *queue && it.is_untouched()).count() as u64
+    }
+
+    /// What each team has running, and what its waiting tasks would take.
+    pub fn demand(&self) -> HashMap<TeamId, Demand> {
+        let mut demand: HashMap<TeamId, Demand> = HashMap::new();
+        for (team, used) in &self.usage {
+            demand.entry(team.clone()).or_default().used = *used;
+        }
+        for id in &self.open {
+            let record = &self.jobs[id].record;
+            let entry = demand.entry(record.submission.team.clone()).or_default();
+            for (task, position) in refs(id, record) {
+                if record.tasks[position].state == State::Waiting {
+                    entry.wanted += record.step(task.step).need;
+                }
+            }
+        }
+        demand
+    }
+
+    /// What a team may have running in these pools.
+    pub(crate) fn grant(&self, team: &TeamId) -> Need {
+        let cap = match self.catalog.teams.get(team) {
+            Some(it) => it.cap,
+            None => Need::default(),
+        };
+        let granted = self.grants.get(team).copied().unwrap_or_default();
+        let limit = |cap: u64, granted: u64| if cap == 0 { u64::MAX / 4 } else { granted.min(cap) };
+        Need {
+            cpu: limit(cap.cpu, granted.cpu),
+            mem: limit(cap.mem, granted.mem),
+            gpu: limit(cap.gpu, granted.gpu),
+        }
+    }
+
+    /// Number of jobs held.
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Processor time that is free on workers, thousandths of a core.
+    pub fn free_cpu(&self) -> u64 {
+        let open = self.workers.values().filter(|it| it.present && !it.listed.draining);
+        open.map(|it| it.listed.capacity.less(&it.used).cpu).sum()
+    }
+
+    /// Notes that a later owner writes to the log.
+    pub fn fence(&mut self) {
+        self.fenced = true;
+    }
+
+    /// Asks for a worker to be emptied until a time; returns whether nothing runs there.
+    pub fn vacate(&mut self, id: &InstanceId, until: Duration) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return true;
+        };
+        worker.vacate_until = worker.vacate_until.max(until);
+        worker.touched && worker.runs.is_empty()
+    }
+
+    /// Has a job's record written with the next commit.
+    pub(crate) fn mark(&mut self, id: &Id) {
+        self.dirty.insert(id.clone());
+    }
+
+    pub(crate) fn note(&mut self, note: Note) {
+        self.actions.push(Action::Note(note));
+    }
+}
+
+/// What a team uses and wants.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub struct Demand {
+    /// What may be running.
+    pub used: Need,
+    /// What waits.
+    pub wanted: Need,
+}
+
+/// A job's state as callers see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub enum Status {
+    /// No task has been placed.
+    Queued,
+    /// Some task has been placed.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as the queue allows.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+/// All tasks of a job with their positions.
+pub(crate) fn refs<'a>(id: &'a Id, record: &'a Record) -> impl Iterator<Item = (Ref, usize)> + 'a {
+    let steps = record.spec().steps.iter().enumerate();
+    let numbers: Vec<(u16, u32)> = steps.flat_map(|(step, it)| (0..it.count).map(move |index| (step as u16, index))).collect();
+    let turns = 0..record.spec().turns();
+    let all = turns.flat_map(move |turn| numbers.clone().into_iter().map(move |(step, index)| (turn, step, index)));
+    all.enumerate().map(|(position, (turn, step, index))| {
+        let task = Ref {
+            job: id.clone(),
+            turn,
+            step,
+            index,
+        };
+        (task, position)
+    })
+}
