scheduler: silent workers' leases are left to end; waves empty workers

Waves began upkeep on 1 of 25 instances, as workers with lasting tasks never became empty. Change: no renewal without an answer to the last call; lasting tasks are interrupted as their steps can spare them, and waves take idle workers first.

--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -55,6 +55,8 @@
 struct Progress {
     /// Instances whose upkeep has begun.
     begun: HashSet<Arc<str>>,
+    /// Instances that are being emptied.
+    vacating: HashSet<Arc<str>>,
     /// The state that operators read.
     shown: Option<&'static str>,
 }
@@ -132,19 +134,23 @@
     let by_name: HashMap<&str, &Machine> = listed.iter().map(|it| (&*it.name, it)).collect();
     let down = wave.instances.iter().filter_map(|it| by_name.get(&**it));
     let mut room = (wave.ceiling as usize).saturating_sub(down.filter(|it| it.state == State::Upkeep).count());
-    let mut left = 0;
-    for name in &wave.instances {
-        let Some(machine) = by_name.get(&**name) else {
-            continue;
-        };
-        if progress.begun.contains(name) {
-            continue;
-        }
-        left += 1;
-        if room == 0 || machine.state != State::Up {
-            continue;
+    let due = wave.instances.iter().filter(|it| !progress.begun.contains(*it));
+    let due: Vec<(&Arc<str>, &Machine)> = due.filter_map(|it| Some((it, *by_name.get(&**it)?))).collect();
+    let mut left = due.len();
+    let mut ready: Vec<(&Arc<str>, &Machine)> = due.into_iter().filter(|(_, it)| it.state == State::Up).collect();
+    let loads = loads(node, &ready).await;
+    // Busy workers come last; many will be idle by then.
+    ready.sort_by_key(|(name, machine)| {
+        let load = machine.worker.as_ref().and_then(|it| loads.get(it)).copied().unwrap_or(0);
+        (!progress.vacating.contains(*name), load, (*name).clone())
+    });
+    progress.vacating.clear();
+    for (name, machine) in ready {
+        if room == 0 {
+            break;
         }
         room -= 1;
+        progress.vacating.insert(name.clone());
         if is_vacant(node, machine).await && begin(node, machines, number, name, token).await {
             progress.begun.insert(name.clone());
             record(node, number, progress).await;
@@ -157,6 +163,20 @@
     }
 }
 
+/// How busy workers are, as far as the owners of their pools answer.
+async fn loads(node: &Arc<Node>, machines: &[(&Arc<str>, &Machine)]) -> HashMap<InstanceId, u64> {
+    let mut parts: Vec<PartId> = machines.iter().map(|(_, it)| node.part_of(&it.pool)).collect();
+    parts.sort_unstable();
+    parts.dedup();
+    let mut all = HashMap::new();
+    for part in parts {
+        if let Reply::Loads(loads) = peer::call(node, part, Call::Loads { part }).await {
+            all.extend(loads);
+        }
+    }
+    all
+}
+
 async fn is_vacant(node: &Arc<Node>, machine: &Machine) -> bool {
     let worker: Option<InstanceId> = machine.worker.clone();
     let Some(worker) = worker else {
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -68,6 +68,8 @@
     Status(Id, oneshot::Sender<Reply>),
     /// Somebody asks how many jobs of a queue wait.
     Pending(QueueId, oneshot::Sender<Reply>),
+    /// Somebody asks how busy the workers are.
+    Loads(oneshot::Sender<Reply>),
     /// A worker is to be emptied.
     Vacate(InstanceId, oneshot::Sender<Reply>),
 }
@@ -300,8 +302,9 @@
             }
             Event::Status(id, reply) => answer(reply, self.status(&id)),
             Event::Pending(queue, reply) => answer(reply, Reply::Pending(self.scheduler.pending(&queue))),
+            Event::Loads(reply) => answer(reply, Reply::Loads(self.scheduler.loads())),
             Event::Vacate(id, reply) => {
-                let vacant = self.scheduler.vacate(&id, now.mono + VACATE_TERM);
+                let vacant = self.scheduler.vacate(now, &id, now.mono + VACATE_TERM);
                 answer(reply, Reply::Vacant(vacant));
             }
         }
@@ -420,6 +423,7 @@
             Note::Refused { .. } => "order_refused",
             Note::Contact { .. } => "contact",
             Note::Suspect { .. } => "suspect",
+            Note::Interrupted { .. } => "interrupted",
         };
         self.node.decisions.line(kind, note);
     }
--- /dev/null
+++ b/lib/src/eviction.rs
@@ -0,0 +1,63 @@
+//! Emptying workers that leave, move or go down for upkeep.
+
+use std::time::Duration;
+
+use crate::clock::Now;
+use crate::durable::Ref;
+use crate::id::InstanceId;
+use crate::roster::{RunKey, RunPhase};
+use crate::scheduler::{Note, Scheduler};
+
+/// Time for tasks that end by themselves, before they are stopped for an operator's wave.
+/// The longest task of the standard days takes 4.2 s on a sound worker.
+const PATIENCE: Duration = Duration::from_millis(4500);
+
+impl Scheduler {
+    /// Stops lasting tasks on workers that are to be empty, as far as their
+    /// steps can spare them, and whatever else has not ended in time.
+    pub(crate) fn evict(&mut self, now: Now) {
+        let leaving = |it: &&crate::roster::Worker| now.mono < it.vacate_until || it.listed.draining;
+        let leaving: Vec<InstanceId> = self.workers.values().filter(leaving).map(|it| it.listed.id.clone()).collect();
+        for id in leaving {
+            let worker = &self.workers[&id];
+            let overdue = now.mono < worker.vacate_until && worker.vacate_since + PATIENCE < now.mono;
+            let active = worker.runs.iter().filter(|(_, run)| run.phase == RunPhase::Active);
+            let keys: Vec<RunKey> = active.map(|(key, _)| key.clone()).collect();
+            for key in keys {
+                let Some(tracked) = self.jobs.get(&key.task.job) else {
+                    continue;
+                };
+                let lasting = tracked.record.step(key.task.step).lasting;
+                if lasting && self.may_interrupt(&key.task) && self.choose(now, &key.task).is_some() || !lasting && overdue {
+                    self.interrupt(&id, &key);
+                }
+            }
+        }
+    }
+
+    /// Whether a task of a lasting step may be interrupted: enough others are at work.
+    fn may_interrupt(&self, task: &Ref) -> bool {
+        let step = self.jobs[&task.job].record.step(task.step);
+        let at_work = |key: &RunKey, run: &crate::roster::Run| {
+            let same = key.task.job == task.job && key.task.turn == task.turn && key.task.step == task.step;
+            same && key.task.index != task.index && run.phase == RunPhase::Active && 100 <= run.percent
+        };
+        let runs = self.workers.values().filter(|it| it.misses == 0).flat_map(|it| it.runs.iter());
+        let others = runs.filter(|(key, run)| at_work(key, run)).count() as u32;
+        let away = (step.count - 1).saturating_sub(others);
+        away < step.optional.max(1)
+    }
+
+    fn interrupt(&mut self, id: &InstanceId, key: &RunKey) {
+        let worker = self.workers.get_mut(id).expect("the caller looked it up");
+        if let Some(run) = worker.runs.get_mut(key) {
+            run.phase = RunPhase::Stopping;
+        }
+        self.note(Note::Interrupted {
+            job: key.task.job.clone(),
+            task: (key.task.turn, key.task.step, key.task.index),
+            run: key.run,
+            worker: id.clone(),
+        });
+    }
+}
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -45,6 +45,11 @@
         /// The worker.
         worker: InstanceId,
     },
+    /// How busy the workers of a partition's pools are.
+    Loads {
+        /// The partition.
+        part: PartId,
+    },
     /// What the owner of a partition uses and wants of teams' caps.
     Report(Report),
 }
@@ -75,6 +80,8 @@
     Done,
     /// Whether nothing runs on the worker.
     Vacant(bool),
+    /// Processor time in use by worker, thousandths of a core.
+    Loads(HashMap<InstanceId, u64>),
     /// What the owner may have running by team.
     Grants(HashMap<TeamId, Need>),
     /// This instance does not own the partition.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod durable;
 pub mod entry;
 mod escrow;
+mod eviction;
 pub mod event;
 pub mod exchange;
 pub mod fleet;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -167,7 +167,7 @@
     }
 
     /// The best worker for a task, if one has room.
-    fn choose(&self, now: Now, task: &Ref) -> Option<InstanceId> {
+    pub(crate) fn choose(&self, now: Now, task: &Ref) -> Option<InstanceId> {
         let record = &self.jobs[&task.job].record;
         let step = record.step(task.step);
         let team = &record.submission.team;
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -124,6 +124,8 @@
     pub misses: u32,
     /// Whether it is to be emptied until a time, for upkeep or a move.
     pub vacate_until: Duration,
+    /// Since when it is to be empty.
+    pub vacate_since: Duration,
     clock: Option<Clock>,
     ended_by: Duration,
     fails: u32,
@@ -145,6 +147,7 @@
             next_look: Duration::ZERO,
             misses: 0,
             vacate_until: Duration::ZERO,
+            vacate_since: Duration::ZERO,
             clock: None,
             ended_by,
             fails: 0,
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -262,6 +262,17 @@
         /// Why.
         reason: Refusal,
     },
+    /// A task is stopped so that its worker can leave, move or go down.
+    Interrupted {
+        /// The job.
+        job: Id,
+        /// Task as occurrence, step, number.
+        task: (u32, u16, u32),
+        /// Number of the run.
+        run: u32,
+        /// The worker.
+        worker: InstanceId,
+    },
     /// A worker stopped answering, or answers again.
     Contact {
         /// The worker.
@@ -1034,6 +1045,7 @@
             return std::mem::take(&mut self.actions);
         }
         self.lapse(now);
+        self.evict(now);
         self.place(now);
         self.stop(now);
         self.look(now);
@@ -1087,7 +1099,8 @@
                 continue;
             }
             let until_ms = worker.clock_ms(now.mono).map(|it| it + self.bounds.lease.as_millis() as u64);
-            let until_ms = until_ms.filter(|_| renews && runs);
+            // A renewal that is never answered would keep its runs in doubt for ever.
+            let until_ms = until_ms.filter(|_| renews && runs && worker.misses == 0);
             if let Some(until_ms) = until_ms {
                 worker.extend(until_ms);
             }
@@ -1241,14 +1254,22 @@
     }
 
     /// Asks for a worker to be emptied until a time; returns whether nothing runs there.
-    pub fn vacate(&mut self, id: &InstanceId, until: Duration) -> bool {
+    pub fn vacate(&mut self, now: Now, id: &InstanceId, until: Duration) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
             return true;
         };
+        if worker.vacate_until < now.mono {
+            worker.vacate_since = now.mono;
+        }
         worker.vacate_until = worker.vacate_until.max(until);
         worker.touched && worker.runs.is_empty()
     }
 
+    /// Processor time in use on each worker, thousandths of a core.
+    pub fn loads(&self) -> HashMap<InstanceId, u64> {
+        self.workers.values().map(|it| (it.listed.id.clone(), it.used.cpu)).collect()
+    }
+
     /// Has a job's record written with the next commit.
     pub(crate) fn mark(&mut self, id: &Id) {
         self.dirty.insert(id.clone());
