scheduler: orders stay in doubt until void; workers keep their life; requests outlive repeats

A repeated request had the only record of a job removed; a start cancelled before its answer counted as over at the next look; a worker known only from records looked reborn when the list showed it again.

--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -66,7 +66,9 @@
         let taken = self.take();
         let mut sender = match taken {
             Some(sender) => sender,
-            None => tokio::time::timeout_at(deadline, self.connect()).await.map_err(|_| Error::Undelivered)??,
+            None => tokio::time::timeout_at(deadline, self.connect())
+                .await
+                .map_err(|_| Error::Undelivered)??,
         };
         let exchange = exchange(&mut sender, self.addr, call);
         let response = tokio::time::timeout_at(deadline, exchange).await.map_err(|_| Error::Lost)??;
@@ -105,7 +107,10 @@
 async fn exchange(sender: &mut SendRequest<Full<Bytes>>, addr: SocketAddr, call: Call) -> Result<Response, Error> {
     // A connection that closes before the request is written has delivered nothing.
     sender.ready().await.map_err(|_| Error::Undelivered)?;
-    let mut request = Request::builder().method(call.method).uri(call.path).header(hyper::header::HOST, addr.to_string());
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(hyper::header::HOST, addr.to_string());
     for (name, value) in call.headers {
         request = request.header(name, value);
     }
@@ -113,7 +118,10 @@
     let response = sender.send_request(request).await;
     let response = response.map_err(|err| if err.is_canceled() { Error::Undelivered } else { Error::Lost })?;
     let status: StatusCode = response.status();
-    let body = Limited::new(response.into_body(), BODY_LIMIT).collect().await.map_err(|_| Error::Lost)?;
+    let body = Limited::new(response.into_body(), BODY_LIMIT)
+        .collect()
+        .await
+        .map_err(|_| Error::Lost)?;
     Ok(Response {
         status,
         body: body.to_bytes(),
--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -82,17 +82,24 @@
         }
         // Orders of two holders must lie this far apart.
         let since = held.map_or(now, |it| it.1);
-        if now < since + node.settings.duty_lease + HANDOVER_SLACK {
+        if now < since + node.settings.duty_lease + HANDOVER_SLACK || !node.is_member() {
             continue;
         }
         let catalog = node.catalog.load_full();
-        if catalog.waves.keys().all(|it| waves.get(it).is_some_and(|it| it.shown == Some("completed"))) {
+        if catalog
+            .waves
+            .keys()
+            .all(|it| waves.get(it).is_some_and(|it| it.shown == Some("completed")))
+        {
             continue;
         }
         let listed = match machines.list(CALL_TIMEOUT).await {
             Ok(listed) => listed,
             Err(err) => {
-                node.decisions.line("dependency", json!({ "name": "machines", "state": "failing", "error": err.to_string() }));
+                node.decisions.line(
+                    "dependency",
+                    json!({ "name": "machines", "state": "failing", "error": err.to_string() }),
+                );
                 continue;
             }
         };
@@ -119,15 +126,7 @@
 }
 
 /// Takes a wave on: begins upkeep where workers are empty, as far as the ceiling allows.
-async fn advance(
-    node: &Arc<Node>,
-    machines: &Machines,
-    number: u64,
-    wave: &Wave,
-    progress: &mut Progress,
-    listed: &[Machine],
-    token: u64,
-) {
+async fn advance(node: &Arc<Node>, machines: &Machines, number: u64, wave: &Wave, progress: &mut Progress, listed: &[Machine], token: u64) {
     if progress.shown.is_none() && show(node, number, "running").await {
         progress.shown = Some("running");
     }
@@ -188,6 +187,10 @@
 }
 
 async fn begin(node: &Node, machines: &Machines, number: u64, name: &str, token: u64) -> bool {
+    // Another holder may have come meanwhile, with a higher token.
+    if !node.is_member() || node.owned(PART).is_none_or(|it| it.epoch != token) {
+        return false;
+    }
     let answer = machines.upkeep(name, number, token, CALL_TIMEOUT).await;
     node.decisions.line(
         "upkeep",
--- a/fleet/src/front.rs
+++ b/fleet/src/front.rs
@@ -97,7 +97,9 @@
         (None, false) => return Err(error(StatusCode::UNAUTHORIZED, "the key is not known")),
     };
     let deadline = request.headers().get(DEADLINE).and_then(|it| it.to_str().ok());
-    let deadline = deadline.and_then(|it| it.parse().ok()).map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    let deadline = deadline
+        .and_then(|it| it.parse().ok())
+        .map_or(DEFAULT_DEADLINE, Duration::from_millis);
     Ok(Target {
         queue: queue.clone(),
         team,
@@ -120,7 +122,10 @@
         Method::POST => ("submit", submit(node, request, target, id).await),
         Method::GET => ("status", status(node, target, id).await),
         Method::DELETE => ("cancel", cancel(node, target, id).await),
-        _ => ("none", error(StatusCode::METHOD_NOT_ALLOWED, "a job can be submitted, read and cancelled")),
+        _ => (
+            "none",
+            error(StatusCode::METHOD_NOT_ALLOWED, "a job can be submitted, read and cancelled"),
+        ),
     }
 }
 
@@ -160,7 +165,10 @@
     match store(node, part, id, request, target.deadline).await {
         Reply::Done => serve::json(StatusCode::OK, caller::status_body(oriolewall::scheduler::Status::Cancelled)),
         Reply::Unavailable => refuse("the log takes no requests"),
-        _ => error(StatusCode::GATEWAY_TIMEOUT, "the log did not answer; the job may have been cancelled"),
+        _ => error(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the log did not answer; the job may have been cancelled",
+        ),
     }
 }
 
--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -38,6 +38,7 @@
         match joined {
             Ok(share) => {
                 watch::note_log(&node, true);
+                node.confirm_member(sent.mono);
                 let changed = share.generation != generation;
                 generation = share.generation;
                 apply(&node, &share, sent.mono);
@@ -62,7 +63,10 @@
     let lost: Vec<PartId> = owned.keys().filter(|it| !share.parts.contains(it)).copied().collect();
     for part in lost {
         owned.remove(&part);
-        node.decisions.line("ownership", json!({ "part": part, "generation": share.generation, "outcome": "lost" }));
+        node.decisions.line(
+            "ownership",
+            json!({ "part": part, "generation": share.generation, "outcome": "lost" }),
+        );
     }
     for part in &share.parts {
         if let Some(owner) = owned.get(part).filter(|it| !it.events.is_closed()) {
@@ -76,7 +80,8 @@
         }
         let (events, inbox) = mpsc::unbounded_channel();
         let epoch = share.generation;
-        node.decisions.line("ownership", json!({ "part": part, "generation": epoch, "outcome": "won" }));
+        node.decisions
+            .line("ownership", json!({ "part": part, "generation": epoch, "outcome": "won" }));
         tokio::spawn(owner::run(node.clone(), *part, epoch, events.clone(), inbox));
         owned.insert(*part, Owned { epoch, events });
     }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -76,7 +76,8 @@
     let linger = LINGER.min(grace.saturating_sub(LAST_ANSWERS));
     tokio::time::sleep(linger).await;
     node.wait_idle(grace.saturating_sub(linger + LAST_ANSWERS / 2)).await;
-    node.decisions.line("stopped", serde_json::json!({ "open_requests": node.open_requests() }));
+    node.decisions
+        .line("stopped", serde_json::json!({ "open_requests": node.open_requests() }));
     node.decisions.flush();
     tokio::time::sleep(Duration::from_millis(50)).await;
     Ok(())
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -24,6 +24,9 @@
 /// Silence of the log after which this instance asks for no new connections.
 /// Longer than a restart of the log's connections, shorter than callers' deadlines.
 const UNREADY_AFTER: Duration = Duration::from_millis(2500);
+/// Time after a join during which duties are carried out.
+/// Below the member's time to live, less the time for an order to arrive.
+const MEMBER_TERM: Duration = Duration::from_millis(1500);
 /// Connections to each other entry instance.
 const PEER_WIDTH: usize = 4;
 
@@ -58,6 +61,7 @@
     pub(crate) owned: Mutex<HashMap<PartId, Owned>>,
     peers: Mutex<HashMap<SocketAddr, Arc<Lane>>>,
     log_heard_ms: AtomicU64,
+    member_confirmed_ms: AtomicU64,
     stopping: AtomicBool,
     open_requests: AtomicU64,
 }
@@ -84,6 +88,7 @@
             owned: Mutex::new(HashMap::new()),
             peers: Mutex::new(HashMap::new()),
             log_heard_ms: AtomicU64::new(0),
+            member_confirmed_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
             member,
@@ -122,6 +127,17 @@
         clock::now().mono < heard + UNREADY_AFTER
     }
 
+    /// Notes that the group confirmed this member, by a call sent at this time.
+    pub(crate) fn confirm_member(&self, sent: Duration) {
+        self.member_confirmed_ms.store(sent.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Whether the group cannot have given this member's partitions to another one for want of life.
+    pub(crate) fn is_member(&self) -> bool {
+        let confirmed = Duration::from_millis(self.member_confirmed_ms.load(Ordering::Relaxed));
+        clock::now().mono < confirmed + MEMBER_TERM
+    }
+
     /// Whether callers should come here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.catalog.load().version != 0 && self.reaches_log()
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -104,7 +104,10 @@
 ) {
     let started = clock::now();
     let Some((scheduler, next)) = take_over(&node, part, epoch).await else {
-        node.decisions.line("ownership", json!({ "part": part, "epoch": epoch, "outcome": "fenced at takeover" }));
+        node.decisions.line(
+            "ownership",
+            json!({ "part": part, "epoch": epoch, "outcome": "fenced at takeover" }),
+        );
         return;
     };
     let took = clock::now().mono.saturating_sub(started.mono);
@@ -132,13 +135,17 @@
     owner.refresh_catalog();
     owner.refresh_workers();
     owner.serve(inbox).await;
-    node.decisions.line("ownership", json!({ "part": part, "epoch": epoch, "outcome": "ended" }));
+    node.decisions
+        .line("ownership", json!({ "part": part, "epoch": epoch, "outcome": "ended" }));
 }
 
 /// Sets the epoch and reads the jobs and requests; `None` if a later owner is there.
 async fn take_over(node: &Node, part: PartId, epoch: u64) -> Option<(Scheduler, u64)> {
     let jobs = Part { topic: JOBS, number: part };
-    let requests = Part { topic: REQUESTS, number: part };
+    let requests = Part {
+        topic: REQUESTS,
+        number: part,
+    };
     let writer = Writer { epoch, sequence: 0 };
     while let Err(err) = node.log.append(jobs, Some(writer), &[], CALL_TIMEOUT).await {
         // The number of an empty append is not checked against those before it.
@@ -191,7 +198,8 @@
 }
 
 fn unreadable(node: &Node, part: PartId, key: &str, err: &rmp_serde::decode::Error) {
-    node.decisions.line("record_skipped", json!({ "part": part, "key": key, "error": err.to_string() }));
+    node.decisions
+        .line("record_skipped", json!({ "part": part, "key": key, "error": err.to_string() }));
 }
 
 fn take_requests(node: &Node, part: PartId, scheduler: &mut Scheduler, tail: Tail) {
@@ -210,7 +218,10 @@
 
 /// Follows callers' requests.
 async fn follow_requests(node: Arc<Node>, part: PartId, mut next: u64, events: mpsc::UnboundedSender<Event>) {
-    let requests = Part { topic: REQUESTS, number: part };
+    let requests = Part {
+        topic: REQUESTS,
+        number: part,
+    };
     loop {
         let read = match node.log.read(requests, next, TAIL_WAIT, CALL_TIMEOUT).await {
             // What expired stands among the newest records unless it was removed.
@@ -327,7 +338,11 @@
     /// Hands the scheduler the workers of this partition's pools.
     fn refresh_workers(&mut self) {
         let all = self.node.workers.load_full();
-        let ours: Vec<Listed> = all.values().filter(|it| self.node.part_of(&it.pool) == self.part).cloned().collect();
+        let ours: Vec<Listed> = all
+            .values()
+            .filter(|it| self.node.part_of(&it.pool) == self.part)
+            .cloned()
+            .collect();
         for line in &ours {
             let known = self.workers.get(&line.id).is_some_and(|it| it.addr() == line.addr);
             if !known {
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -45,7 +45,10 @@
 /// Calls an entry instance.
 pub(crate) async fn remote(node: &Node, addr: SocketAddr, call: Call, timeout: Duration) -> Reply {
     let body = rmp_serde::to_vec(&call).expect("calls can be encoded");
-    let response = node.peer(addr).call(client::Call::post(addr, "/peer", Bytes::from(body), timeout)).await;
+    let response = node
+        .peer(addr)
+        .call(client::Call::post(addr, "/peer", Bytes::from(body), timeout))
+        .await;
     match response {
         Ok(response) if response.status == StatusCode::OK => rmp_serde::from_slice(&response.body).unwrap_or(Reply::Unknown),
         Ok(_) => Reply::Unavailable,
--- a/fleet/src/serve.rs
+++ b/fleet/src/serve.rs
@@ -94,7 +94,9 @@
 pub(crate) fn json(status: StatusCode, body: Vec<u8>) -> Answer {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -27,14 +27,49 @@
     spec("listen", "metrics", Kind::Addr, "address for metrics"),
     spec("platform", "log", Kind::Addr, "address of the log service"),
     spec("platform", "parts", Kind::Number(1, 1024), "partitions of a topic of the log"),
-    spec("platform", "member_ttl_ms", Kind::Number(100, 60_000), "least time to live of a member, milliseconds"),
-    spec("platform", "machines", Kind::Text, "address of the service that manages instances; empty for none"),
-    spec("platform", "advice", Kind::Text, "address of the service that gives advice; empty for none"),
-    spec("bounds", "lease_max_ms", Kind::Number(1_000, 600_000), "longest lease that workers grant, milliseconds"),
-    spec("bounds", "grace_ms", Kind::Number(500, 600_000), "time from SIGTERM to SIGKILL, milliseconds"),
-    spec("bounds", "duty_lease_ms", Kind::Number(0, 60_000), "time between orders of two holders of fleet duties, milliseconds"),
+    spec(
+        "platform",
+        "member_ttl_ms",
+        Kind::Number(100, 60_000),
+        "least time to live of a member, milliseconds",
+    ),
+    spec(
+        "platform",
+        "machines",
+        Kind::Text,
+        "address of the service that manages instances; empty for none",
+    ),
+    spec(
+        "platform",
+        "advice",
+        Kind::Text,
+        "address of the service that gives advice; empty for none",
+    ),
+    spec(
+        "bounds",
+        "lease_max_ms",
+        Kind::Number(1_000, 600_000),
+        "longest lease that workers grant, milliseconds",
+    ),
+    spec(
+        "bounds",
+        "grace_ms",
+        Kind::Number(500, 600_000),
+        "time from SIGTERM to SIGKILL, milliseconds",
+    ),
+    spec(
+        "bounds",
+        "duty_lease_ms",
+        Kind::Number(0, 60_000),
+        "time between orders of two holders of fleet duties, milliseconds",
+    ),
     spec("limits", "memory_mb", Kind::Number(16, 1_048_576), "memory of this instance, MiB"),
-    spec("limits", "descriptors", Kind::Number(64, 1_048_576), "file descriptors of this instance"),
+    spec(
+        "limits",
+        "descriptors",
+        Kind::Number(64, 1_048_576),
+        "file descriptors of this instance",
+    ),
 ];
 
 /// Settings in force.
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -124,7 +124,10 @@
 /// Writes a line for a failed call to the log.
 pub(crate) fn failed(node: &Node, what: &'static str, err: &Error) {
     node.metrics.log_errors.inc();
-    node.decisions.line("dependency", json!({ "name": "log", "state": "failing", "call": what, "error": err.to_string() }));
+    node.decisions.line(
+        "dependency",
+        json!({ "name": "log", "state": "failing", "call": what, "error": err.to_string() }),
+    );
 }
 
 /// Follows the settings file. What cannot be changed while the process runs is only reported.
@@ -146,7 +149,9 @@
         last = text;
         match Settings::load(&path) {
             Ok(_) => node.decisions.line("reload", json!({ "signal": asked, "outcome": "checked" })),
-            Err(err) => node.decisions.line("reload", json!({ "signal": asked, "outcome": "refused", "error": err.to_string() })),
+            Err(err) => node
+                .decisions
+                .line("reload", json!({ "signal": asked, "outcome": "refused", "error": err.to_string() })),
         }
     }
 }
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -217,6 +217,7 @@
                 reserved,
                 need,
                 seen_ms: 0,
+                until_ms: 0,
                 percent: 0,
                 progressed: now.mono,
                 stop_sent: None,
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -58,11 +58,8 @@
 pub enum RunPhase {
     /// Recorded or about to be; no order has been sent.
     Intended,
-    /// Ordered without an answer yet; not started after this time of the worker's clock.
-    Sent {
-        /// The worker's clock, milliseconds.
-        until_ms: u64,
-    },
+    /// Ordered without an answer yet.
+    Sent,
     /// Placed by an earlier owner, not yet seen here.
     Inherited,
     /// Seen running.
@@ -82,8 +79,10 @@
     pub reserved: Need,
     /// What it counts against the cap.
     pub need: Need,
-    /// The worker's clock when it was last known to run, milliseconds.
+    /// The worker's clock when it was last known to run, milliseconds; zero if it never was.
     pub seen_ms: u64,
+    /// The worker's clock after which the order to start is void, milliseconds.
+    pub until_ms: u64,
     /// Progress in percent.
     pub percent: u32,
     /// When the progress last changed.
@@ -256,6 +255,19 @@
 }
 
 impl Run {
+    /// Whether it does not take place, given that the worker did not list it at a time of its clock.
+    pub fn is_over(&self, clock_ms: u64) -> bool {
+        match self.phase {
+            RunPhase::Intended => false,
+            // Orders of earlier owners are void since this one was heard there.
+            RunPhase::Inherited => true,
+            // Until its time is over, an order may still be carried out.
+            _ if self.seen_ms == 0 => self.until_ms < clock_ms,
+            // A look that was answered before the start is no evidence.
+            _ => self.seen_ms < clock_ms,
+        }
+    }
+
     /// Whether it should make progress and makes none.
     pub fn is_stalled(&self, now: Duration) -> bool {
         self.phase == RunPhase::Active && self.percent < 100 && self.progressed + STALL < now
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -380,8 +380,11 @@
     pub fn request(&mut self, now: Now, id: Id, request: Request) {
         match request {
             Request::Submit(submission) => {
-                if self.jobs.contains_key(&id) {
-                    self.forget.push(id);
+                if let Some(tracked) = self.jobs.get(&id) {
+                    // Until the job is stored the request is all that the log has of it.
+                    if tracked.stored {
+                        self.forget.push(id);
+                    }
                     return;
                 }
                 self.note(Note::Admitted {
@@ -445,11 +448,13 @@
                 continue;
             };
             worker.present = true;
-            if worker.listed.born_ms < line.born_ms {
+            // A worker known only from records may be in any of its lives.
+            let was_known = worker.listed.born_ms != 0;
+            if was_known && worker.listed.born_ms < line.born_ms {
                 let lost = worker.reborn(line.born_ms);
                 worker.listed = line.clone();
                 self.lose(now, &line.id, lost, "reborn");
-            } else if worker.listed.born_ms == line.born_ms {
+            } else if !was_known || worker.listed.born_ms == line.born_ms {
                 worker.listed = line;
             }
         }
@@ -510,6 +515,7 @@
                     reserved: step.reserved(),
                     need: step.need,
                     seen_ms: 0,
+                    until_ms: 0,
                     percent: 0,
                     progressed: self.acquired,
                     stop_sent: None,
@@ -526,6 +532,9 @@
             return;
         };
         worker.looking = false;
+        if worker.listed.born_ms == 0 {
+            worker.listed.born_ms = look.born_ms;
+        }
         if worker.listed.born_ms < look.born_ms {
             let lost = worker.reborn(look.born_ms);
             self.lose(now, id, lost, "reborn");
@@ -621,19 +630,24 @@
             }
         } else {
             // Started by an earlier owner, or late; it takes room until it is stopped.
-            let (team, reserved, need) = self.describe(&active.key);
+            let capacity = worker.listed.capacity;
+            let (team, reserved, need) = self.describe(&active.key, capacity);
             let run = Run {
                 phase: RunPhase::Stopping,
                 team: team.clone(),
                 reserved,
                 need,
                 seen_ms: clock_ms,
+                until_ms: 0,
                 percent: active.percent,
                 progressed: now.mono,
                 stop_sent: None,
             };
             *self.usage.entry(team).or_default() += need;
-            self.workers.get_mut(id).expect("the caller looked it up").add(active.key.clone(), run);
+            self.workers
+                .get_mut(id)
+                .expect("the caller looked it up")
+                .add(active.key.clone(), run);
         }
         if wanted
             && !active.checkpoint.is_empty()
@@ -656,9 +670,10 @@
         tracked.record.phase == Phase::Open && task.run == key.run && task.state == State::Placed(id.clone())
     }
 
-    fn describe(&self, key: &RunKey) -> (TeamId, Need, Need) {
+    fn describe(&self, key: &RunKey, capacity: Need) -> (TeamId, Need, Need) {
         let Some(tracked) = self.jobs.get(&key.task.job) else {
-            return (TeamId::from(""), Need::default(), Need::default());
+            // What it takes is not known, so the worker counts as full.
+            return (TeamId::from(""), capacity, Need::default());
         };
         let record = &tracked.record;
         let Some(step) = record.spec().steps.get(usize::from(key.task.step)) else {
@@ -670,19 +685,10 @@
     /// Settles runs that a worker does not list.
     fn settle(&mut self, now: Now, id: &InstanceId, clock_ms: u64, listed: &HashSet<RunKey>) {
         let worker = self.workers.get_mut(id).expect("the caller looked it up");
-        let is_gone = |run: &Run| match run.phase {
-            RunPhase::Intended => false,
-            // Past its time the order is void, whenever it arrives.
-            RunPhase::Sent { until_ms } => until_ms < clock_ms,
-            // Orders of earlier owners are void since this one was heard there.
-            RunPhase::Inherited => true,
-            // A look that was answered before the start is no evidence.
-            RunPhase::Active | RunPhase::Stopping => run.seen_ms < clock_ms,
-        };
         let gone: Vec<RunKey> = worker
             .runs
             .iter()
-            .filter(|(key, run)| !listed.contains(key) && is_gone(run))
+            .filter(|(key, run)| !listed.contains(key) && run.is_over(clock_ms))
             .map(|(key, _)| key.clone())
             .collect();
         for key in gone {
@@ -798,7 +804,10 @@
             if end.how == How::Done && task.run == end.key.run {
                 task.state = State::Done;
                 over.push(RunKey {
-                    task: Ref { index, ..end.key.task.clone() },
+                    task: Ref {
+                        index,
+                        ..end.key.task.clone()
+                    },
                     run: task.run,
                 });
             }
@@ -889,7 +898,7 @@
     /// Lets everything run again that was on a worker.
     fn lose(&mut self, now: Now, id: &InstanceId, keys: Vec<RunKey>, how: &'static str) {
         for key in keys {
-            let (team, _, need) = self.describe(&key);
+            let (team, _, need) = self.describe(&key, Need::default());
             if let Some(usage) = self.usage.get_mut(&team) {
                 *usage -= need;
             }
@@ -917,7 +926,7 @@
                     if let Some(run) = worker.runs.get_mut(key) {
                         run.seen_ms = run.seen_ms.max(clock_ms);
                         run.progressed = now.mono;
-                        if matches!(run.phase, RunPhase::Sent { .. }) {
+                        if run.phase == RunPhase::Sent {
                             run.phase = RunPhase::Active;
                         }
                     }
@@ -1025,7 +1034,8 @@
         worker.extend(until_ms);
         worker.next_look = worker.next_look.min(now.mono + LOOK_GAP);
         let run = worker.runs.get_mut(&key).expect("looked up above");
-        run.phase = RunPhase::Sent { until_ms };
+        run.phase = RunPhase::Sent;
+        run.until_ms = until_ms;
         let record = &self.jobs[&key.task.job].record;
         let position = record.position(&key.task).expect("a wanted run has a task");
         let start = Start {
@@ -1057,7 +1067,12 @@
     /// Gives up runs on silent workers whose leases have ended.
     fn lapse(&mut self, now: Now) {
         let is_over = |it: &Worker| it.has_lapsed(now.mono) && (it.misses != 0 || !it.present) && !it.runs.is_empty();
-        let over: Vec<InstanceId> = self.workers.values().filter(|it| is_over(it)).map(|it| it.listed.id.clone()).collect();
+        let over: Vec<InstanceId> = self
+            .workers
+            .values()
+            .filter(|it| is_over(it))
+            .map(|it| it.listed.id.clone())
+            .collect();
         for id in over {
             let worker = self.workers.get_mut(&id).expect("names come from the map");
             let lost = worker.clear();
@@ -1183,7 +1198,8 @@
             true => self.last_commit + COMMIT_GAP,
             false => next,
         };
-        next.min(commit).clamp(now.mono + Duration::from_millis(5), now.mono + Duration::from_millis(250))
+        next.min(commit)
+            .clamp(now.mono + Duration::from_millis(5), now.mono + Duration::from_millis(250))
     }
 
     /// A job's state as the log has it; `None` if it is not known here.
@@ -1307,7 +1323,9 @@
 /// All tasks of a job with their positions.
 pub(crate) fn refs<'a>(id: &'a Id, record: &'a Record) -> impl Iterator<Item = (Ref, usize)> + 'a {
     let steps = record.spec().steps.iter().enumerate();
-    let numbers: Vec<(u16, u32)> = steps.flat_map(|(step, it)| (0..it.count).map(move |index| (step as u16, index))).collect();
+    let numbers: Vec<(u16, u32)> = steps
+        .flat_map(|(step, it)| (0..it.count).map(move |index| (step as u16, index)))
+        .collect();
     let turns = 0..record.spec().turns();
     let all = turns.flat_map(move |turn| numbers.clone().into_iter().map(move |(step, index)| (turn, step, index)));
     all.enumerate().map(|(position, (turn, step, index))| {
