balance: idle instances are lent to pools that need them, or rest

Change: owners report use, waiting and arriving work; the holder of the fleet's duties moves idle instances to short pools and to standby; workers are packed.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -8,7 +8,8 @@
 //! - `owner`: runs the scheduler of a partition.
 //! - `front`: callers' requests.
 //! - `peer`: calls between entry instances.
-//! - `duty`: upkeep of instances and their moves between pools.
+//! - `duty`: caps divided, and instances moved between pools.
+//! - `upkeep`: upkeep of instances in waves.
 //! - `decision`: the decision log.
 //! - `metrics`: counters and latencies.
 //! - `serve`: HTTP service.
@@ -24,6 +25,7 @@
 mod peer;
 mod serve;
 pub mod settings;
+mod upkeep;
 mod watch;
 
 use std::path::PathBuf;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::clock;
 use crate::decision;
+use crate::duty::Duties;
 use crate::metrics::Metrics;
 use crate::owner::Event;
 use crate::settings::Settings;
@@ -59,6 +60,8 @@
     pub(crate) refresh_owners: tokio::sync::Notify,
     /// Owners in this process.
     pub(crate) owned: Mutex<HashMap<PartId, Owned>>,
+    /// What this instance knows while it has the fleet's duties.
+    pub(crate) duties: Mutex<Duties>,
     peers: Mutex<HashMap<SocketAddr, Arc<Lane>>>,
     log_heard_ms: AtomicU64,
     member_confirmed_ms: AtomicU64,
@@ -86,6 +89,7 @@
             owners: ArcSwap::from_pointee(HashMap::new()),
             refresh_owners: tokio::sync::Notify::new(),
             owned: Mutex::new(HashMap::new()),
+            duties: Mutex::new(Duties::default()),
             peers: Mutex::new(HashMap::new()),
             log_heard_ms: AtomicU64::new(0),
             member_confirmed_ms: AtomicU64::new(0),
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -370,7 +370,7 @@
             epoch: self.epoch,
             teams: self.scheduler.demand(),
             held: self.grants.clone(),
-            free_cpu: self.scheduler.free_cpu(),
+            loads: self.scheduler.pool_loads(clock::now()),
         };
         let (node, events) = (self.node.clone(), self.events.clone());
         self.tasks.spawn(async move {
--- /dev/null
+++ b/fleet/src/upkeep.rs
@@ -0,0 +1,188 @@
+//! Upkeep of instances in waves.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use oriole_platform::log::{DUTIES, Entry, STATUS};
+use oriole_platform::machine::{Answer, Machine, Machines, State};
+use oriolewall::catalog::Wave;
+use oriolewall::exchange::{Call, PartId, Reply};
+use oriolewall::id::InstanceId;
+use serde_json::json;
+
+use crate::duty::{self, CALL_TIMEOUT};
+use crate::node::Node;
+use crate::{peer, watch};
+
+/// How far each wave is.
+#[derive(Debug, Default)]
+pub(crate) struct Waves {
+    waves: BTreeMap<u64, Progress>,
+    vacating: HashSet<Arc<str>>,
+}
+
+#[derive(Debug, Default)]
+struct Progress {
+    /// Instances whose upkeep has begun.
+    begun: HashSet<Arc<str>>,
+    /// The state that operators read.
+    shown: Option<&'static str>,
+}
+
+impl Waves {
+    /// What earlier holders of the duties recorded.
+    pub(crate) async fn load(node: &Node) -> Waves {
+        let mut waves = Waves::default();
+        let tail = match node.log.newest(DUTIES, CALL_TIMEOUT).await {
+            Ok(tail) => tail,
+            Err(err) => {
+                // Orders that were carried out before are answered as done.
+                watch::failed(node, "duties", &err);
+                return waves;
+            }
+        };
+        for entry in tail.entries {
+            let names: Option<Vec<Arc<str>>> = entry.value.as_deref().and_then(|it| rmp_serde::from_slice(it).ok());
+            if let (Ok(number), Some(names)) = (entry.key.parse(), names) {
+                waves.waves.entry(number).or_default().begun.extend(names);
+            }
+        }
+        waves
+    }
+
+    /// Instances that are being emptied.
+    pub(crate) fn vacating(&self) -> &HashSet<Arc<str>> {
+        &self.vacating
+    }
+
+    /// Takes all waves on that are not completed.
+    pub(crate) async fn advance(&mut self, node: &Arc<Node>, machines: &Machines, listed: &[Machine], token: u64) {
+        let catalog = node.catalog.load_full();
+        let mut vacating = HashSet::new();
+        for (number, wave) in &catalog.waves {
+            let progress = self.waves.entry(*number).or_default();
+            if progress.shown == Some("completed") {
+                continue;
+            }
+            let step = Step {
+                node,
+                machines,
+                listed,
+                token,
+                number: *number,
+                earlier: &self.vacating,
+            };
+            vacating.extend(step.advance(wave, progress).await);
+        }
+        self.vacating = vacating;
+    }
+}
+
+/// One round of one wave.
+struct Step<'a> {
+    node: &'a Arc<Node>,
+    machines: &'a Machines,
+    listed: &'a [Machine],
+    token: u64,
+    number: u64,
+    earlier: &'a HashSet<Arc<str>>,
+}
+
+impl Step<'_> {
+    /// Begins upkeep where workers are empty, as far as the ceiling allows.
+    /// Returns the instances that are being emptied.
+    async fn advance(&self, wave: &Wave, progress: &mut Progress) -> HashSet<Arc<str>> {
+        if progress.shown.is_none() && self.show("running").await {
+            progress.shown = Some("running");
+        }
+        let by_name: HashMap<&str, &Machine> = self.listed.iter().map(|it| (&*it.name, it)).collect();
+        let members = wave.instances.iter().filter_map(|it| by_name.get(&**it));
+        let down = members.filter(|it| it.state == State::Upkeep).count();
+        let mut room = (wave.ceiling as usize).saturating_sub(down);
+        let due = wave.instances.iter().filter(|it| !progress.begun.contains(*it));
+        let due: Vec<(&Arc<str>, &Machine)> = due.filter_map(|it| Some((it, *by_name.get(&**it)?))).collect();
+        let mut left = due.len();
+        let mut ready: Vec<(&Arc<str>, &Machine)> = due.into_iter().filter(|(_, it)| it.state == State::Up).collect();
+        let loads = self.loads(&ready).await;
+        // Busy workers come last; many will be idle by then.
+        ready.sort_by_key(|(name, machine)| {
+            let load = machine.worker.as_ref().and_then(|it| loads.get(it)).copied().unwrap_or(0);
+            (!self.earlier.contains(*name), load, (*name).clone())
+        });
+        let mut vacating = HashSet::new();
+        for (name, machine) in ready {
+            if room == 0 {
+                break;
+            }
+            room -= 1;
+            if duty::is_vacant(self.node, &machine.pool, machine.worker.clone()).await && self.begin(name).await {
+                progress.begun.insert(name.clone());
+                self.record(progress).await;
+                left -= 1;
+            } else {
+                vacating.insert(name.clone());
+            }
+        }
+        if left == 0 && self.show("completed").await {
+            progress.shown = Some("completed");
+        }
+        vacating
+    }
+
+    /// How busy workers are, as far as the owners of their pools answer.
+    async fn loads(&self, machines: &[(&Arc<str>, &Machine)]) -> HashMap<InstanceId, u64> {
+        let mut parts: Vec<PartId> = machines.iter().map(|(_, it)| self.node.part_of(&it.pool)).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        let mut all = HashMap::new();
+        for part in parts {
+            if let Reply::Loads(loads) = peer::call(self.node, part, Call::Loads { part }).await {
+                all.extend(loads);
+            }
+        }
+        all
+    }
+
+    async fn begin(&self, name: &str) -> bool {
+        // Another holder may have come meanwhile, with a higher token.
+        if !duty::may_order(self.node, self.token) {
+            return false;
+        }
+        let answer = self.machines.upkeep(name, self.number, self.token, CALL_TIMEOUT).await;
+        self.node.decisions.line(
+            "upkeep",
+            json!({ "instance": name, "wave": self.number, "token": self.token, "outcome": format!("{answer:?}") }),
+        );
+        matches!(answer, Answer::Done | Answer::Wave)
+    }
+
+    async fn record(&self, progress: &Progress) {
+        let names: Vec<&Arc<str>> = progress.begun.iter().collect();
+        let value = rmp_serde::to_vec(&names).expect("names can be encoded");
+        let entry = Entry {
+            key: self.number.to_string(),
+            value: Some(Bytes::from(value)),
+        };
+        // Without the record the next holder asks again; the platform answers that it is done.
+        if let Err(err) = self.node.log.append(DUTIES, None, &[entry], CALL_TIMEOUT).await {
+            watch::failed(self.node, "duties", &err);
+        }
+    }
+
+    /// Shows operators how far the wave is; returns whether that stands in the log.
+    async fn show(&self, state: &'static str) -> bool {
+        let entry = Entry {
+            key: format!("wave/{}", self.number),
+            value: Some(Bytes::from(json!({ "state": state }).to_string())),
+        };
+        self.node.decisions.line("wave", json!({ "wave": self.number, "state": state }));
+        match self.node.log.append(STATUS, None, &[entry], CALL_TIMEOUT).await {
+            Ok(()) => true,
+            Err(err) => {
+                watch::failed(self.node, "wave", &err);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/balance.rs
@@ -0,0 +1,215 @@
+//! Which instances belong in which pool, as demand moves between pools.
+//!
+//! An instance in a pool is paid for by the second, one in a standby pool is
+//! not; a move costs about as much as an idle second. So idle instances are
+//! lent to pools that need them, and rest in a standby pool otherwise.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{InstanceId, PoolId, ZoneId};
+
+/// Fewest instances that a pool keeps, so that the loss of a zone leaves some.
+const FLOOR: usize = 3;
+/// Room beyond the work that arrives, as a part of it.
+/// Work arrives in bursts within a second; with less, a fifth of the jobs of a turn wait.
+const HEADROOM: f64 = 1.25;
+/// Idle time after which an instance rests: it pays for the move and the move back.
+const REST_AFTER: Duration = Duration::from_millis(1200);
+/// Time for a move to show in the platform's list.
+const IN_TRANSIT: Duration = Duration::from_millis(2500);
+
+/// Demand on a pool.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Processor in use, thousandths of a core.
+    pub used: u64,
+    /// Processor that tasks wait for, thousandths of a core.
+    pub waiting: u64,
+    /// Processor that arriving jobs will take, thousandths of a core.
+    pub arriving: u64,
+    /// Workers on which nothing runs.
+    pub idle: Vec<InstanceId>,
+}
+
+/// An instance, as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// The worker that it is now.
+    pub worker: Option<InstanceId>,
+    /// Its processor, thousandths of a core.
+    pub cpu: u64,
+    /// Its kind; pools may take some kinds only.
+    pub kind: Arc<str>,
+    /// Whether it is in service.
+    pub up: bool,
+    /// Whether it may be moved now.
+    pub movable: bool,
+}
+
+/// An instance is to go to another pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// The instance.
+    pub name: Arc<str>,
+    /// The pool that it leaves.
+    pub from: PoolId,
+    /// The pool that it goes to.
+    pub to: PoolId,
+    /// The worker that it is now.
+    pub worker: Option<InstanceId>,
+}
+
+/// Plans moves.
+#[derive(Debug, Default)]
+pub struct Planner {
+    idle_since: HashMap<Arc<str>, Duration>,
+    ordered: HashMap<Arc<str>, (PoolId, Duration)>,
+    refused: HashSet<(Arc<str>, PoolId)>,
+}
+
+struct Pool<'a> {
+    have: usize,
+    wanted: usize,
+    spare: Vec<&'a Instance>,
+}
+
+impl Planner {
+    /// Moves that demand asks for now.
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        loads: &BTreeMap<PoolId, Load>,
+        standby: &[PoolId],
+        instances: &[Instance],
+    ) -> Vec<Move> {
+        self.ordered.retain(|_, (_, at)| now < *at + IN_TRANSIT);
+        let mut pools = self.survey(now, loads, instances);
+        let mut resting: Vec<&Instance> = instances.iter().filter(|it| standby.contains(&it.pool)).collect();
+        resting.retain(|it| it.movable && !self.ordered.contains_key(&it.name));
+        let mut moves = self.lend(loads, &mut pools, &mut resting);
+        if let Some(rest) = standby.first() {
+            moves.extend(self.rest(now, rest, &mut pools));
+        }
+        moves
+    }
+
+    /// Notes that a move was ordered.
+    pub fn ordered(&mut self, now: Duration, order: &Move) {
+        self.ordered.insert(order.name.clone(), (order.to.clone(), now));
+        self.idle_since.remove(&order.name);
+    }
+
+    /// Notes that a pool does not take instances of a kind.
+    pub fn refused(&mut self, kind: Arc<str>, pool: PoolId) {
+        self.refused.insert((kind, pool));
+    }
+
+    /// What each pool has, wants and can spare.
+    fn survey<'a>(&mut self, now: Duration, loads: &BTreeMap<PoolId, Load>, instances: &'a [Instance]) -> BTreeMap<PoolId, Pool<'a>> {
+        let mut pools = BTreeMap::new();
+        for (name, load) in loads {
+            let ours: Vec<&Instance> = instances.iter().filter(|it| self.pool_of(it) == name).collect();
+            let cpu = ours.iter().map(|it| it.cpu).max().unwrap_or(0).max(1);
+            let demand = (load.used + load.waiting).max((load.arriving as f64 * HEADROOM) as u64);
+            let idle: HashSet<&InstanceId> = load.idle.iter().collect();
+            let is_idle = |it: &Instance| it.movable && it.pool == *name && it.worker.as_ref().is_some_and(|id| idle.contains(id));
+            for it in &ours {
+                if is_idle(it) {
+                    self.idle_since.entry(it.name.clone()).or_insert(now);
+                } else {
+                    self.idle_since.remove(&it.name);
+                }
+            }
+            let mut spare: Vec<&Instance> = ours.iter().copied().filter(|it| is_idle(it)).collect();
+            spare.retain(|it| !self.ordered.contains_key(&it.name));
+            // The zone with the most instances gives first.
+            let in_zone = |zone: &ZoneId| ours.iter().filter(|it| it.zone == *zone).count();
+            spare.sort_by_key(|it| (in_zone(&it.zone), it.name.clone()));
+            pools.insert(
+                name.clone(),
+                Pool {
+                    have: ours.len(),
+                    wanted: (demand.div_ceil(cpu) as usize).max(FLOOR),
+                    spare,
+                },
+            );
+        }
+        pools
+    }
+
+    /// The pool that an instance is in or on its way to.
+    fn pool_of<'a>(&'a self, instance: &'a Instance) -> &'a PoolId {
+        self.ordered.get(&instance.name).map_or(&instance.pool, |(pool, _)| pool)
+    }
+
+    /// Gives pools that want more instances resting ones, then what others can spare.
+    fn lend(&self, loads: &BTreeMap<PoolId, Load>, pools: &mut BTreeMap<PoolId, Pool<'_>>, resting: &mut Vec<&Instance>) -> Vec<Move> {
+        let mut moves = Vec::new();
+        let mut short: Vec<PoolId> = pools.iter().filter(|(_, it)| it.have < it.wanted).map(|(name, _)| name.clone()).collect();
+        short.sort_by_key(|name| std::cmp::Reverse(loads[name].waiting));
+        for name in short {
+            while pools[&name].have < pools[&name].wanted {
+                let fits = |it: &Instance| !self.refused.contains(&(it.kind.clone(), name.clone()));
+                let rested = resting.iter().position(|it| fits(it)).map(|it| resting.swap_remove(it));
+                let Some(instance) = rested.or_else(|| take_spare(pools, &name, fits)) else {
+                    break;
+                };
+                if let Some(pool) = pools.get_mut(&name) {
+                    pool.have += 1;
+                }
+                moves.push(order(instance, &name));
+            }
+        }
+        moves
+    }
+
+    /// Lets instances rest that have been idle for long and are not wanted.
+    fn rest(&self, now: Duration, standby: &PoolId, pools: &mut BTreeMap<PoolId, Pool<'_>>) -> Vec<Move> {
+        let mut moves = Vec::new();
+        for pool in pools.values_mut() {
+            while pool.wanted < pool.have {
+                let long = |it: &Instance| self.idle_since.get(&it.name).is_some_and(|since| *since + REST_AFTER <= now);
+                let fits = |it: &Instance| !self.refused.contains(&(it.kind.clone(), standby.clone()));
+                let Some(index) = pool.spare.iter().rposition(|it| long(it) && fits(it)) else {
+                    break;
+                };
+                let instance = pool.spare.remove(index);
+                pool.have -= 1;
+                moves.push(order(instance, standby));
+            }
+        }
+        moves
+    }
+}
+
+/// An idle instance of the pool that has the most to spare.
+fn take_spare<'a, F>(pools: &mut BTreeMap<PoolId, Pool<'a>>, wanted_by: &PoolId, fits: F) -> Option<&'a Instance>
+where
+    F: Fn(&Instance) -> bool,
+{
+    let givers = pools.iter_mut().filter(|(name, it)| *name != wanted_by && it.wanted < it.have);
+    let givers = givers.filter(|(_, it)| it.spare.iter().any(|it| fits(it)));
+    let (_, giver) = givers.max_by_key(|(_, it)| it.have - it.wanted)?;
+    let index = giver.spare.iter().rposition(|it| fits(it))?;
+    giver.have -= 1;
+    Some(giver.spare.remove(index))
+}
+
+fn order(instance: &Instance, to: &PoolId) -> Move {
+    Move {
+        name: instance.name.clone(),
+        from: instance.pool.clone(),
+        to: to.clone(),
+        worker: instance.worker.clone(),
+    }
+}
--- a/lib/src/durable.rs
+++ b/lib/src/durable.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{InstanceId, PoolId, TeamId};
+use crate::need::Need;
 use crate::spec::{Job, Step};
 
 /// A caller's name for a job.
@@ -167,6 +168,20 @@
         spec.steps[step].after.iter().all(|it| self.is_step_done(turn, usize::from(*it)))
     }
 
+    /// What the tasks take that could start now.
+    pub fn waiting_need(&self, now_ms: u64) -> Need {
+        let mut need = Need::default();
+        for turn in 0..self.spec().turns() {
+            for (index, step) in self.spec().steps.iter().enumerate() {
+                let waiting = self.tasks_of(turn, index).iter().filter(|it| it.state == State::Waiting).count();
+                if waiting != 0 && self.is_ready(turn, index, now_ms) {
+                    need += step.reserved().times(waiting as u64);
+                }
+            }
+        }
+        need
+    }
+
     /// Whether no task has been placed yet.
     pub fn is_untouched(&self) -> bool {
         self.tasks.iter().all(|it| it.run == 0)
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -1,11 +1,12 @@
 //! Calls between entry instances, as MessagePack over HTTP.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 
+use crate::balance::Load;
 use crate::durable::{Id, QueueId, Request};
-use crate::id::{InstanceId, TeamId};
+use crate::id::{InstanceId, PoolId, TeamId};
 use crate::need::Need;
 use crate::scheduler::{Demand, Status};
 
@@ -65,8 +66,8 @@
     pub teams: HashMap<TeamId, Demand>,
     /// What it may have running by team.
     pub held: HashMap<TeamId, Need>,
-    /// Processor time that its workers have free, thousandths of a core.
-    pub free_cpu: u64,
+    /// Demand on its pools.
+    pub loads: BTreeMap<PoolId, Load>,
 }
 
 /// An answer.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -32,9 +32,11 @@
 //! - [`roster`]: workers as the owner of their pool sees them.
 //! - [`scheduler`]: the owner of a pool.
 //! - [`quota`]: teams' caps divided among owners.
+//! - [`balance`]: instances moved between pools as demand moves.
 //! - [`exchange`]: calls between entry instances on the platform.
 
 mod adopt;
+pub mod balance;
 pub mod catalog;
 pub mod clock;
 mod config;
--- a/lib/src/pace.rs
+++ b/lib/src/pace.rs
@@ -35,3 +35,32 @@
         Some(mean.mul_f64(ahead as f64 / running.max(1) as f64))
     }
 }
+
+/// Time over which arrivals are averaged.
+/// Demand turns every few seconds; a shorter time follows single large jobs.
+const ARRIVAL_TIME: Duration = Duration::from_millis(700);
+
+/// Rate at which work arrives, averaged over the recent past.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Arrivals {
+    rate: f64,
+    at: Duration,
+}
+
+impl Arrivals {
+    /// Notes work that arrived, thousandths of a core times milliseconds.
+    pub fn add(&mut self, now: Duration, work: u64) {
+        self.rate = self.decayed(now) + work as f64 / ARRIVAL_TIME.as_millis() as f64;
+        self.at = now;
+    }
+
+    /// The rate, thousandths of a core.
+    pub fn rate(&self, now: Duration) -> u64 {
+        self.decayed(now) as u64
+    }
+
+    fn decayed(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64() / ARRIVAL_TIME.as_secs_f64();
+        self.rate * (-age).exp()
+    }
+}
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -179,8 +179,9 @@
         let workers = self.workers.values().filter(fits);
         let best = workers.max_by_key(|it| {
             let near = step.rack.is_empty() || it.listed.rack == step.rack;
+            // Full workers first: what stays idle can be lent to other pools.
             let room = it.listed.capacity.less(&it.used).cpu;
-            (!it.is_suspect(now.mono), near, room, Reverse(it.listed.id.clone()))
+            (!it.is_suspect(now.mono), near, Reverse(room), Reverse(it.listed.id.clone()))
         })?;
         Some(best.listed.id.clone())
     }
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -5,18 +5,20 @@
 //! owns the pool next finds every run that can exist. Orders carry a token that
 //! rises with each owner, and a time on the worker's clock after which they are void.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use serde::Serialize;
 
+use crate::balance::Load;
 use crate::catalog::{Catalog, Queue};
 use crate::clock::Now;
 use crate::durable::{Id, Phase, QueueId, Record, Ref, Request, State};
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::need::Need;
+use crate::pace::Arrivals;
 use crate::roster::{Listed, Run, RunKey, RunPhase, Worker};
 
 /// Time after which an order to start is void.
@@ -328,6 +330,7 @@
     last_commit: Duration,
     forget: Vec<Id>,
     last_forget: Duration,
+    arrivals: HashMap<PoolId, Arrivals>,
     fenced: bool,
     pub(crate) room_retry: Duration,
     pub(crate) actions: Vec<Action>,
@@ -353,6 +356,7 @@
             in_flight: None,
             last_commit: Duration::ZERO,
             forget: Vec::new(),
+            arrivals: HashMap::new(),
             last_forget: now.mono,
             fenced: false,
             room_retry: Duration::ZERO,
@@ -393,6 +397,8 @@
                     team: submission.team.clone(),
                     tasks: submission.spec.width(),
                 });
+                let arrivals = self.arrivals.entry(submission.pool.clone()).or_default();
+                arrivals.add(now.mono, submission.spec.work());
                 let tracked = Tracked {
                     record: Record::new(submission),
                     durable: Phase::Open,
@@ -1258,10 +1264,25 @@
         self.jobs.len()
     }
 
-    /// Processor time that is free on workers, thousandths of a core.
-    pub fn free_cpu(&self) -> u64 {
-        let open = self.workers.values().filter(|it| it.present && !it.listed.draining);
-        open.map(|it| it.listed.capacity.less(&it.used).cpu).sum()
+    /// Demand on each pool that has workers or jobs here.
+    pub fn pool_loads(&self, now: Now) -> BTreeMap<PoolId, Load> {
+        let mut loads: BTreeMap<PoolId, Load> = BTreeMap::new();
+        for worker in self.workers.values().filter(|it| it.present) {
+            let load = loads.entry(worker.listed.pool.clone()).or_default();
+            load.used += worker.used.cpu;
+            if worker.touched && worker.runs.is_empty() && !worker.listed.draining {
+                load.idle.push(worker.listed.id.clone());
+            }
+        }
+        for id in &self.open {
+            let record = &self.jobs[id].record;
+            let load = loads.entry(record.submission.pool.clone()).or_default();
+            load.waiting += record.waiting_need(now.wall_ms()).cpu;
+        }
+        for (pool, arrivals) in &self.arrivals {
+            loads.entry(pool.clone()).or_default().arriving = arrivals.rate(now.mono);
+        }
+        loads
     }
 
     /// Notes that a later owner writes to the log.
--- a/lib/src/spec.rs
+++ b/lib/src/spec.rs
@@ -151,6 +151,13 @@
         self.steps.iter().any(|it| it.lasting)
     }
 
+    /// Processor time of all tasks that end by themselves, by the caller's
+    /// estimates: thousandths of a core times milliseconds.
+    pub fn work(&self) -> u64 {
+        let ending = self.steps.iter().filter(|it| !it.lasting);
+        ending.map(|it| u64::from(it.count) * it.reserved().cpu * it.estimate_ms).sum()
+    }
+
     /// Run time of the longest chain of steps by the caller's estimates, milliseconds.
     pub fn chain_ms(&self) -> u64 {
         let mut ends: SmallVec<[u64; 8]> = SmallVec::new();
