balance: pools hold what arrives besides what waits

Cause: a pool in its turn got instances only as fast as its backlog grew; lasting steps that must be spread over five workers stayed in pools of three. Change: demand is arriving work and backlog together; a pool has as many instances as its widest spread step needs.

--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -143,6 +143,10 @@
     let out = |it: &Instance| catalog.zones_out.contains(&it.zone);
     let instances: Vec<Instance> = listed.iter().map(instance).filter(|it| !out(it)).collect();
     let moves = planner.plan(now, &loads, &standby, &instances);
+    if !moves.is_empty() {
+        let demand: BTreeMap<&PoolId, (u64, u64, u64)> = loads.iter().map(|(pool, it)| (pool, (it.used, it.waiting, it.arriving))).collect();
+        node.decisions.line("balance", json!({ "pools": planner.standings(), "used_waiting_arriving": demand, "moves": moves.len() }));
+    }
     let mut orders = JoinSet::new();
     for order in moves {
         planner.ordered(now, &order);
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -14,9 +14,9 @@
 
 /// Fewest instances that a pool keeps, so that the loss of a zone leaves some.
 const FLOOR: usize = 3;
-/// Room beyond the work that arrives, as a part of it.
-/// Work arrives in bursts within a second; with less, a fifth of the jobs of a turn wait.
-const HEADROOM: f64 = 1.25;
+/// Room for the work that arrives, as a multiple of it.
+/// Estimates of run times are off by a tenth in the mean.
+const HEADROOM: f64 = 1.1;
 /// Idle time after which an instance rests: it pays for the move and the move back.
 const REST_AFTER: Duration = Duration::from_millis(1200);
 /// Time for a move to show in the platform's list.
@@ -31,6 +31,8 @@
     pub waiting: u64,
     /// Processor that arriving jobs will take, thousandths of a core.
     pub arriving: u64,
+    /// Workers that some step needs so as not to share one among too many of its tasks.
+    pub breadth: usize,
     /// Workers on which nothing runs.
     pub idle: Vec<InstanceId>,
 }
@@ -75,6 +77,18 @@
     idle_since: HashMap<Arc<str>, Duration>,
     ordered: HashMap<Arc<str>, (PoolId, Duration)>,
     refused: HashSet<(Arc<str>, PoolId)>,
+    standings: BTreeMap<PoolId, Standing>,
+}
+
+/// What a pool has and wants, for the decision log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Standing {
+    /// Instances in it or on their way there.
+    pub have: usize,
+    /// Instances that demand asks for.
+    pub wanted: usize,
+    /// Idle instances.
+    pub spare: usize,
 }
 
 struct Pool<'a> {
@@ -94,6 +108,12 @@
     ) -> Vec<Move> {
         self.ordered.retain(|_, (_, at)| now < *at + IN_TRANSIT);
         let mut pools = self.survey(now, loads, instances);
+        let standing = |it: &Pool<'_>| Standing {
+            have: it.have,
+            wanted: it.wanted,
+            spare: it.spare.len(),
+        };
+        self.standings = pools.iter().map(|(name, it)| (name.clone(), standing(it))).collect();
         let mut resting: Vec<&Instance> = instances.iter().filter(|it| standby.contains(&it.pool)).collect();
         resting.retain(|it| it.movable && !self.ordered.contains_key(&it.name));
         let mut moves = self.lend(loads, &mut pools, &mut resting);
@@ -103,6 +123,11 @@
         moves
     }
 
+    /// What each pool had and wanted when the last plan was made.
+    pub fn standings(&self) -> &BTreeMap<PoolId, Standing> {
+        &self.standings
+    }
+
     /// Notes that a move was ordered.
     pub fn ordered(&mut self, now: Duration, order: &Move) {
         self.ordered.insert(order.name.clone(), (order.to.clone(), now));
@@ -120,7 +145,7 @@
         for (name, load) in loads {
             let ours: Vec<&Instance> = instances.iter().filter(|it| self.pool_of(it) == name).collect();
             let cpu = ours.iter().map(|it| it.cpu).max().unwrap_or(0).max(1);
-            let demand = (load.used + load.waiting).max((load.arriving as f64 * HEADROOM) as u64);
+            let demand = load.used.max((load.arriving as f64 * HEADROOM) as u64) + load.waiting;
             let idle: HashSet<&InstanceId> = load.idle.iter().collect();
             let is_idle = |it: &Instance| it.movable && it.pool == *name && it.worker.as_ref().is_some_and(|id| idle.contains(id));
             for it in &ours {
@@ -139,7 +164,7 @@
                 name.clone(),
                 Pool {
                     have: ours.len(),
-                    wanted: (demand.div_ceil(cpu) as usize).max(FLOOR),
+                    wanted: (demand.div_ceil(cpu) as usize).max(load.breadth).max(FLOOR),
                     spare,
                 },
             );
--- a/lib/src/durable.rs
+++ b/lib/src/durable.rs
@@ -182,6 +182,12 @@
         need
     }
 
+    /// Workers that the job needs so that no step has too many of its tasks on one.
+    pub fn breadth(&self) -> usize {
+        let spread = self.spec().steps.iter().filter(|it| it.spread != 0);
+        spread.map(|it| it.count.div_ceil(it.spread) as usize).max().unwrap_or(0)
+    }
+
     /// Whether no task has been placed yet.
     pub fn is_untouched(&self) -> bool {
         self.tasks.iter().all(|it| it.run == 0)
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -1278,6 +1278,7 @@
             let record = &self.jobs[id].record;
             let load = loads.entry(record.submission.pool.clone()).or_default();
             load.waiting += record.waiting_need(now.wall_ms()).cpu;
+            load.breadth = load.breadth.max(record.breadth());
         }
         for (pool, arrivals) in &self.arrivals {
             loads.entry(pool.clone()).or_default().arriving = arrivals.rate(now.mono);
