--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -90,7 +90,10 @@
         let listed = match machines.list(CALL_TIMEOUT).await {
             Ok(listed) => listed,
             Err(err) => {
-                node.decisions.line("dependency", json!({ "name": "machines", "state": "failing", "error": err.to_string() }));
+                node.decisions.line(
+                    "dependency",
+                    json!({ "name": "machines", "state": "failing", "error": err.to_string() }),
+                );
                 continue;
             }
         };
@@ -121,10 +124,19 @@
         Ok(duties) => duties.loads.clone(),
         Err(_) => return,
     };
-    let standby: Vec<PoolId> = catalog.pools.iter().filter(|(_, it)| it.standby).map(|(name, _)| name.clone()).collect();
+    let standby: Vec<PoolId> = catalog
+        .pools
+        .iter()
+        .filter(|(_, it)| it.standby)
+        .map(|(name, _)| name.clone())
+        .collect();
     // Pools without a fresh report keep what they have.
     let fresh = |pool: &PoolId, at: Duration| catalog.pools.get(pool).is_some_and(|it| !it.standby) && now < at + REPORT_AGE;
-    let loads: BTreeMap<PoolId, Load> = loads.into_iter().filter(|(pool, (_, at))| fresh(pool, *at)).map(|(pool, (load, _))| (pool, load)).collect();
+    let loads: BTreeMap<PoolId, Load> = loads
+        .into_iter()
+        .filter(|(pool, (_, at))| fresh(pool, *at))
+        .map(|(pool, (load, _))| (pool, load))
+        .collect();
     let workers = node.workers.load();
     let held_back: &HashSet<Arc<str>> = waves.vacating();
     let instance = |it: &Machine| {
@@ -136,7 +148,7 @@
             worker: it.worker.clone(),
             cpu: listed.map_or(it.capacity.cpu, |it| it.capacity.cpu),
             kind: it.labels.first().cloned().unwrap_or_else(|| Arc::from("")),
-            up: it.state == State::Up,
+            serves: matches!(it.state, State::Up | State::Moving) && !held_back.contains(&it.name),
             movable: it.state == State::Up && !held_back.contains(&it.name),
         }
     };
@@ -144,8 +156,12 @@
     let instances: Vec<Instance> = listed.iter().map(instance).filter(|it| !out(it)).collect();
     let moves = planner.plan(now, &loads, &standby, &instances);
     if !moves.is_empty() {
-        let demand: BTreeMap<&PoolId, (u64, u64, u64)> = loads.iter().map(|(pool, it)| (pool, (it.used, it.waiting, it.arriving))).collect();
-        node.decisions.line("balance", json!({ "pools": planner.standings(), "used_waiting_arriving": demand, "moves": moves.len() }));
+        let demand: BTreeMap<&PoolId, (u64, u64, u64)> =
+            loads.iter().map(|(pool, it)| (pool, (it.used, it.waiting, it.arriving))).collect();
+        node.decisions.line(
+            "balance",
+            json!({ "pools": planner.standings(), "used_waiting_arriving": demand, "moves": moves.len() }),
+        );
     }
     let mut orders = JoinSet::new();
     for order in moves {
--- a/fleet/src/upkeep.rs
+++ b/fleet/src/upkeep.rs
@@ -8,7 +8,7 @@
 use oriole_platform::machine::{Answer, Machine, Machines, State};
 use oriolewall::catalog::Wave;
 use oriolewall::exchange::{Call, PartId, Reply};
-use oriolewall::id::InstanceId;
+use oriolewall::id::{InstanceId, PoolId};
 use serde_json::json;
 
 use crate::duty::{self, CALL_TIMEOUT};
@@ -111,10 +111,16 @@
             (!self.earlier.contains(*name), load, (*name).clone())
         });
         let mut vacating = HashSet::new();
+        let mut by_pool: HashMap<&PoolId, usize> = HashMap::new();
         for (name, machine) in ready {
             if room == 0 {
                 break;
             }
+            let taken = by_pool.entry(&machine.pool).or_default();
+            if self.spared_by(&machine.pool) <= *taken {
+                continue;
+            }
+            *taken += 1;
             room -= 1;
             if duty::is_vacant(self.node, &machine.pool, machine.worker.clone()).await && self.begin(name).await {
                 progress.begun.insert(name.clone());
@@ -130,6 +136,12 @@
         vacating
     }
 
+    /// Instances that a pool can do without at once: a third of those in service.
+    fn spared_by(&self, pool: &PoolId) -> usize {
+        let up = self.listed.iter().filter(|it| it.pool == *pool && it.state == State::Up).count();
+        up.div_ceil(3)
+    }
+
     /// How busy workers are, as far as the owners of their pools answer.
     async fn loads(&self, machines: &[(&Arc<str>, &Machine)]) -> HashMap<InstanceId, u64> {
         let mut parts: Vec<PartId> = machines.iter().map(|(_, it)| self.node.part_of(&it.pool)).collect();
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -52,8 +52,8 @@
     pub cpu: u64,
     /// Its kind; pools may take some kinds only.
     pub kind: Arc<str>,
-    /// Whether it is in service.
-    pub up: bool,
+    /// Whether it takes work of its pool, or will when it arrives there.
+    pub serves: bool,
     /// Whether it may be moved now.
     pub movable: bool,
 }
@@ -99,13 +99,7 @@
 
 impl Planner {
     /// Moves that demand asks for now.
-    pub fn plan(
-        &mut self,
-        now: Duration,
-        loads: &BTreeMap<PoolId, Load>,
-        standby: &[PoolId],
-        instances: &[Instance],
-    ) -> Vec<Move> {
+    pub fn plan(&mut self, now: Duration, loads: &BTreeMap<PoolId, Load>, standby: &[PoolId], instances: &[Instance]) -> Vec<Move> {
         self.ordered.retain(|_, (_, at)| now < *at + IN_TRANSIT);
         let mut pools = self.survey(now, loads, instances);
         let standing = |it: &Pool<'_>| Standing {
@@ -143,7 +137,9 @@
     fn survey<'a>(&mut self, now: Duration, loads: &BTreeMap<PoolId, Load>, instances: &'a [Instance]) -> BTreeMap<PoolId, Pool<'a>> {
         let mut pools = BTreeMap::new();
         for (name, load) in loads {
-            let ours: Vec<&Instance> = instances.iter().filter(|it| self.pool_of(it) == name).collect();
+            // What is being emptied or is down for upkeep does not count.
+            let ours = instances.iter().filter(|it| self.pool_of(it) == name);
+            let ours: Vec<&Instance> = ours.filter(|it| it.serves || self.ordered.contains_key(&it.name)).collect();
             let cpu = ours.iter().map(|it| it.cpu).max().unwrap_or(0).max(1);
             let demand = load.used.max((load.arriving as f64 * HEADROOM) as u64) + load.waiting;
             let idle: HashSet<&InstanceId> = load.idle.iter().collect();
@@ -180,7 +176,11 @@
     /// Gives pools that want more instances resting ones, then what others can spare.
     fn lend(&self, loads: &BTreeMap<PoolId, Load>, pools: &mut BTreeMap<PoolId, Pool<'_>>, resting: &mut Vec<&Instance>) -> Vec<Move> {
         let mut moves = Vec::new();
-        let mut short: Vec<PoolId> = pools.iter().filter(|(_, it)| it.have < it.wanted).map(|(name, _)| name.clone()).collect();
+        let mut short: Vec<PoolId> = pools
+            .iter()
+            .filter(|(_, it)| it.have < it.wanted)
+            .map(|(name, _)| name.clone())
+            .collect();
         short.sort_by_key(|name| std::cmp::Reverse(loads[name].waiting));
         for name in short {
             while pools[&name].have < pools[&name].wanted {
