--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -147,7 +147,6 @@
             zone: it.zone.clone().unwrap_or_else(|| Arc::from("")),
             worker: it.worker.clone(),
             cpu: listed.map_or(it.capacity.cpu, |it| it.capacity.cpu),
-            kind: it.labels.first().cloned().unwrap_or_else(|| Arc::from("")),
             serves: matches!(it.state, State::Up | State::Moving) && !held_back.contains(&it.name),
             movable: it.state == State::Up && !held_back.contains(&it.name),
         }
@@ -169,11 +168,9 @@
         orders.spawn(carry_out(node.clone(), machines.clone(), order, token));
     }
     while let Some(done) = orders.join_next().await {
-        let Ok((order, Some(Answer::Unknown))) = done else {
-            continue;
-        };
-        let kind = instances.iter().find(|it| it.name == order.name).map(|it| it.kind.clone());
-        planner.refused(kind.unwrap_or_else(|| Arc::from("")), order.to);
+        if let Ok((order, Some(Answer::Unknown))) = done {
+            planner.refused(now, &order);
+        }
     }
 }
 
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -18,7 +18,9 @@
 /// Estimates of run times are off by a tenth in the mean.
 const HEADROOM: f64 = 1.1;
 /// Idle time after which an instance rests: it pays for the move and the move back.
-const REST_AFTER: Duration = Duration::from_millis(1200);
+const REST_AFTER: Duration = Duration::from_millis(800);
+/// Time until an instance that a pool refused is offered again.
+const REFUSED_FOR: Duration = Duration::from_secs(30);
 /// Time for a move to show in the platform's list.
 const IN_TRANSIT: Duration = Duration::from_millis(2500);
 
@@ -50,8 +52,6 @@
     pub worker: Option<InstanceId>,
     /// Its processor, thousandths of a core.
     pub cpu: u64,
-    /// Its kind; pools may take some kinds only.
-    pub kind: Arc<str>,
     /// Whether it takes work of its pool, or will when it arrives there.
     pub serves: bool,
     /// Whether it may be moved now.
@@ -76,7 +76,7 @@
 pub struct Planner {
     idle_since: HashMap<Arc<str>, Duration>,
     ordered: HashMap<Arc<str>, (PoolId, Duration)>,
-    refused: HashSet<(Arc<str>, PoolId)>,
+    refused: HashMap<(Arc<str>, PoolId), Duration>,
     standings: BTreeMap<PoolId, Standing>,
 }
 
@@ -101,6 +101,7 @@
     /// Moves that demand asks for now.
     pub fn plan(&mut self, now: Duration, loads: &BTreeMap<PoolId, Load>, standby: &[PoolId], instances: &[Instance]) -> Vec<Move> {
         self.ordered.retain(|_, (_, at)| now < *at + IN_TRANSIT);
+        self.refused.retain(|_, at| now < *at + REFUSED_FOR);
         let mut pools = self.survey(now, loads, instances);
         let standing = |it: &Pool<'_>| Standing {
             have: it.have,
@@ -128,9 +129,9 @@
         self.idle_since.remove(&order.name);
     }
 
-    /// Notes that a pool does not take instances of a kind.
-    pub fn refused(&mut self, kind: Arc<str>, pool: PoolId) {
-        self.refused.insert((kind, pool));
+    /// Notes that a pool does not take an instance: it is of another kind, or gone.
+    pub fn refused(&mut self, now: Duration, order: &Move) {
+        self.refused.insert((order.name.clone(), order.to.clone()), now);
     }
 
     /// What each pool has, wants and can spare.
@@ -184,7 +185,7 @@
         short.sort_by_key(|name| std::cmp::Reverse(loads[name].waiting));
         for name in short {
             while pools[&name].have < pools[&name].wanted {
-                let fits = |it: &Instance| !self.refused.contains(&(it.kind.clone(), name.clone()));
+                let fits = |it: &Instance| !self.refused.contains_key(&(it.name.clone(), name.clone()));
                 let rested = resting.iter().position(|it| fits(it)).map(|it| resting.swap_remove(it));
                 let Some(instance) = rested.or_else(|| take_spare(pools, &name, fits)) else {
                     break;
@@ -204,7 +205,7 @@
         for pool in pools.values_mut() {
             while pool.wanted < pool.have {
                 let long = |it: &Instance| self.idle_since.get(&it.name).is_some_and(|since| *since + REST_AFTER <= now);
-                let fits = |it: &Instance| !self.refused.contains(&(it.kind.clone(), standby.clone()));
+                let fits = |it: &Instance| !self.refused.contains_key(&(it.name.clone(), standby.clone()));
                 let Some(index) = pool.spare.iter().rposition(|it| long(it) && fits(it)) else {
                     break;
                 };
