scheduler: silent workers are recorded; advice, throttling, racks; owners come back

Change: silence is recorded with the time left; an ended owner has its instance leave and join again; appends are numbered by what the log took; leases end after 4.5 s. Steps take advice, racks and throttling into account.

--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -84,7 +84,7 @@
         }
         // Orders of two holders must lie this far apart.
         let since = held.map_or(now, |it| it.1);
-        if now < since + node.settings.duty_lease + HANDOVER_SLACK || !node.is_member() {
+        if now < since + node.bounds.load().duty_lease + HANDOVER_SLACK || !node.is_member() {
             continue;
         }
         let listed = match machines.list(CALL_TIMEOUT).await {
--- a/fleet/src/front.rs
+++ b/fleet/src/front.rs
@@ -12,6 +12,7 @@
 use oriolewall::durable::{self, Id, Submission};
 use oriolewall::exchange::{Call, PartId, Reply};
 use oriolewall::id::TeamId;
+use oriolewall::scheduler::Status;
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -149,21 +150,35 @@
         received_ms: clock::now().wall_ms(),
         spec: Arc::new(spec),
     };
+    // A repeat after the queue was pointed at another pool is still the same job.
+    for pool in &target.queue.former {
+        let call = Call::Status {
+            part: node.part_of(pool),
+            id: id.clone(),
+        };
+        if let Reply::Status(Some(status)) = peer::call(node, node.part_of(pool), call).await {
+            return serve::json(StatusCode::OK, caller::status_body(status));
+        }
+    }
     let part = node.part_of(&target.queue.pool);
     match store(node, part, id, durable::Request::Submit(submission), target.deadline).await {
-        Reply::Done => serve::json(StatusCode::OK, caller::status_body(oriolewall::scheduler::Status::Queued)),
+        Reply::Done => serve::json(StatusCode::OK, caller::status_body(Status::Queued)),
         Reply::Unavailable => refuse("the log takes no requests"),
         _ => error(StatusCode::GATEWAY_TIMEOUT, "the log did not answer; the job may have been taken"),
     }
 }
 
 async fn cancel(node: &Arc<Node>, target: &Target, id: &Id) -> Answer {
-    let part = node.part_of(&target.queue.pool);
+    let part = match locate(node, target, id).await {
+        Located::At(part, _) => part,
+        // The job may be on its way to the owner of the pool that the queue feeds now.
+        Located::Nowhere | Located::Unknown => node.part_of(&target.queue.pool),
+    };
     let request = durable::Request::Cancel {
         at_ms: clock::now().wall_ms(),
     };
     match store(node, part, id, request, target.deadline).await {
-        Reply::Done => serve::json(StatusCode::OK, caller::status_body(oriolewall::scheduler::Status::Cancelled)),
+        Reply::Done => serve::json(StatusCode::OK, caller::status_body(Status::Cancelled)),
         Reply::Unavailable => refuse("the log takes no requests"),
         _ => error(
             StatusCode::GATEWAY_TIMEOUT,
@@ -216,17 +231,50 @@
 }
 
 async fn status(node: &Arc<Node>, target: &Target, id: &Id) -> Answer {
-    let part = node.part_of(&target.queue.pool);
     let refuse_at = Instant::now() + REFUSE_AFTER;
     loop {
+        match locate(node, target, id).await {
+            Located::At(_, status) => return serve::json(StatusCode::OK, caller::status_body(status)),
+            Located::Nowhere => return error(StatusCode::GONE, "there is no such job"),
+            Located::Unknown if refuse_at <= Instant::now() + PAUSE => {
+                return refuse("the owner of the job's pool does not answer");
+            }
+            Located::Unknown => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Where a job is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Located {
+    /// In a partition, with its state.
+    At(PartId, Status),
+    /// In no partition.
+    Nowhere,
+    /// Some owner did not answer.
+    Unknown,
+}
+
+/// Looks for a job with the owner of its queue's pool, then with all others:
+/// the queue may have fed another pool when the job was taken.
+async fn locate(node: &Arc<Node>, target: &Target, id: &Id) -> Located {
+    let catalog = node.catalog.load_full();
+    let first = node.part_of(&target.queue.pool);
+    let mut parts: Vec<PartId> = catalog.pools.keys().map(|it| node.part_of(it)).collect();
+    parts.sort_unstable_by_key(|it| (*it != first, *it));
+    parts.dedup();
+    let mut unknown = false;
+    for part in parts {
         let call = Call::Status { part, id: id.clone() };
         match peer::call(node, part, call).await {
-            Reply::Status(Some(status)) => return serve::json(StatusCode::OK, caller::status_body(status)),
-            Reply::Status(None) => return error(StatusCode::GONE, "there is no such job"),
-            _ if refuse_at <= Instant::now() + PAUSE => return refuse("the owner of the job's pool does not answer"),
-            _ => tokio::time::sleep(PAUSE).await,
+            Reply::Status(Some(status)) => return Located::At(part, status),
+            Reply::Status(None) => {}
+            // Without the likely owner's word the others' matters little.
+            _ if part == first => return Located::Unknown,
+            _ => unknown = true,
         }
     }
+    if unknown { Located::Unknown } else { Located::Nowhere }
 }
 
 async fn pending(node: &Arc<Node>, target: &Target) -> Answer {
--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -41,7 +41,14 @@
                 node.confirm_member(sent.mono);
                 let changed = share.generation != generation;
                 generation = share.generation;
-                apply(&node, &share, sent.mono);
+                if !apply(&node, &share, sent.mono) {
+                    // Only a new generation lets this member own the partition again.
+                    if let Err(err) = node.log.leave(GROUP, &node.member, CALL_TIMEOUT).await {
+                        watch::failed(&node, "leave", &err);
+                    }
+                    generation = 0;
+                    continue;
+                }
                 if changed {
                     node.refresh_owners.notify_one();
                     // Joining at the new generation lets go of what is no longer held.
@@ -55,10 +62,10 @@
     }
 }
 
-/// Starts and ends owners.
-fn apply(node: &Arc<Node>, share: &Share, sent: Duration) {
+/// Starts and ends owners. Returns false if an owner ended that this member still is by the group.
+fn apply(node: &Arc<Node>, share: &Share, sent: Duration) -> bool {
     let Ok(mut owned) = node.owned.lock() else {
-        return;
+        return true;
     };
     let lost: Vec<PartId> = owned.keys().filter(|it| !share.parts.contains(it)).copied().collect();
     for part in lost {
@@ -74,9 +81,13 @@
             let _ = owner.events.send(Event::Proven(sent));
             continue;
         }
-        // An owner that was fenced waits for a generation of its own.
         if owned.get(part).is_some_and(|it| share.generation <= it.epoch) {
-            continue;
+            node.decisions.line(
+                "ownership",
+                json!({ "part": part, "generation": share.generation, "outcome": "owner ended" }),
+            );
+            owned.clear();
+            return false;
         }
         let (events, inbox) = mpsc::unbounded_channel();
         let epoch = share.generation;
@@ -85,6 +96,7 @@
         tokio::spawn(owner::run(node.clone(), *part, epoch, events.clone(), inbox));
         owned.insert(*part, Owned { epoch, events });
     }
+    true
 }
 
 /// Takes earlier lives of this instance out of the group: its address is bound here now.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -51,12 +51,16 @@
     let ready = bind(settings.ready).await?;
     let peers = bind(settings.peers).await?;
     let metrics = bind(settings.metrics).await?;
-    let grace = settings.grace;
     let node = Arc::new(Node::new(settings));
     node.decisions.line(
         "start",
         serde_json::json!({ "zone": node.settings.zone, "member": node.member, "version": env!("CARGO_PKG_VERSION") }),
     );
+    let reporter = node.clone();
+    std::panic::set_hook(Box::new(move |info| {
+        reporter.decisions.line("panic", serde_json::json!({ "message": info.to_string() }));
+        reporter.decisions.flush();
+    }));
     tokio::spawn(serve::run(callers, node.clone(), serve::Kind::Callers));
     tokio::spawn(serve::run(ready, node.clone(), serve::Kind::Ready));
     tokio::spawn(serve::run(peers, node.clone(), serve::Kind::Peers));
@@ -75,6 +79,7 @@
     // Pools go first, so that their next owners start while callers are still served here.
     group.abort();
     group::leave(&node).await;
+    let grace = node.bounds.load().grace;
     let linger = LINGER.min(grace.saturating_sub(LAST_ANSWERS));
     tokio::time::sleep(linger).await;
     node.wait_idle(grace.saturating_sub(linger + LAST_ANSWERS / 2)).await;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use oriole_daemon::lane::Lane;
+use oriole_platform::advice::Adviser;
 use oriole_platform::log::Log;
 use oriolewall::catalog::Catalog;
 use oriolewall::exchange::PartId;
@@ -20,7 +21,7 @@
 use crate::duty::Duties;
 use crate::metrics::Metrics;
 use crate::owner::Event;
-use crate::settings::Settings;
+use crate::settings::{Bounds, Settings};
 
 /// Silence of the log after which this instance asks for no new connections.
 /// Longer than a restart of the log's connections, shorter than callers' deadlines.
@@ -44,9 +45,13 @@
 /// What all parts of an entry instance share.
 #[derive(Debug)]
 pub(crate) struct Node {
+    /// Settings at the start of the process.
     pub(crate) settings: Settings,
+    /// Those that may change, as last read.
+    pub(crate) bounds: ArcSwap<Bounds>,
     pub(crate) member: String,
     pub(crate) log: Log,
+    pub(crate) adviser: Option<Adviser>,
     pub(crate) decisions: decision::Log,
     pub(crate) metrics: Metrics,
     /// Operators' configuration; version 0 until one is read.
@@ -80,6 +85,7 @@
         let member = format!("{}@{}", settings.peers, clock::now().wall_ms());
         Node {
             log: Log::new(settings.log),
+            adviser: settings.advice.map(Adviser::new),
             decisions: decision::Log::start(settings.name.clone()),
             metrics: Metrics::new(),
             catalog: ArcSwap::from_pointee(Catalog::default()),
@@ -96,6 +102,7 @@
             stopping: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
             member,
+            bounds: ArcSwap::from_pointee(settings.bounds),
             settings,
         }
     }
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use oriole_platform::advice::Advice;
 use oriole_platform::log::{Entry, Error, JOBS, Part, REQUESTS, Tail, Writer};
 use oriole_platform::worker::Worker;
+use oriolewall::advice::StepKey;
 use oriolewall::durable::{Id, QueueId, Record, Request};
 use oriolewall::exchange::{Call, PartId, Reply, Report};
 use oriolewall::id::{InstanceId, TeamId};
@@ -16,6 +18,7 @@
 use oriolewall::quota;
 use oriolewall::roster::{Listed, RunKey};
 use oriolewall::scheduler::{Action, Answer, Bounds, Look, Note, Scheduler, Status};
+use oriolewall::silence::{SILENCE_PREFIX, Silence};
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -24,10 +27,13 @@
 use crate::{clock, duty, peer, watch};
 
 /// Time after the last proof of ownership during which leases are renewed.
-/// Longer than a member's time to live, so that a hand-over never lets leases lapse.
-const TERM: Duration = Duration::from_millis(3000);
+/// A member's time to live is 2 s; after that there may be a later owner.
+const TERM: Duration = Duration::from_millis(2200);
 /// Lease as a part of the longest that workers grant.
 const LEASE_PART: f64 = 0.6;
+/// Longest lease. With the term it outlasts an outage of the log of 6 s; a
+/// silent worker's tasks start elsewhere when it has ended.
+const LEASE_MAX: Duration = Duration::from_millis(4500);
 /// Time for a call to the log.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Pause after a failed call to the log.
@@ -38,6 +44,8 @@
 const TAIL_FRESH: Duration = Duration::from_millis(4500);
 /// Time between two reports on teams' caps.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Time for a call for advice; the service takes one call at a time and counts workers.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(3500);
 /// Time for which a worker is kept empty after it was asked for.
 const VACATE_TERM: Duration = Duration::from_secs(2);
 /// Suffix of the key of a request to cancel.
@@ -58,10 +66,12 @@
     Looked(InstanceId, Result<Look, Answer>),
     /// A worker answered an order to start.
     Started(InstanceId, RunKey, Answer),
-    /// A worker answered an order to stop.
+    /// A worker answered an order to stop or to work at another speed.
     Stopped(InstanceId, Answer),
-    /// The last commit is in the log, or a later owner writes there.
-    Committed(Result<(), Error>),
+    /// Advice on a step, or none for want of an answer.
+    Advised(StepKey, Option<Advice>),
+    /// The last commit is in the log under a number, or a later owner writes there.
+    Committed(Result<u64, Error>),
     /// What teams may have running, by a report sent at this time.
     Grants(Duration, HashMap<TeamId, Need>),
     /// Somebody asks for a job's state.
@@ -87,6 +97,7 @@
     scheduler: Scheduler,
     workers: HashMap<InstanceId, Arc<Worker>>,
     sequence: u64,
+    numbered: bool,
     tail_read: Duration,
     grants: HashMap<TeamId, Need>,
     granted: Duration,
@@ -123,6 +134,7 @@
         scheduler,
         workers: HashMap::new(),
         sequence: 0,
+        numbered: false,
         tail_read: clock::now().mono,
         grants: HashMap::new(),
         granted: Duration::ZERO,
@@ -161,7 +173,7 @@
     }
     let now = clock::now();
     let bounds = Bounds {
-        lease: node.settings.lease_max.mul_f64(LEASE_PART),
+        lease: node.bounds.load().lease_max.mul_f64(LEASE_PART).min(LEASE_MAX),
         term: TERM,
     };
     let mut scheduler = Scheduler::new(bounds, now);
@@ -169,6 +181,13 @@
         let Some(value) = entry.value else {
             continue;
         };
+        if let Some(worker) = entry.key.strip_prefix(SILENCE_PREFIX) {
+            match rmp_serde::from_slice::<Silence>(&value) {
+                Ok(silence) => scheduler.load_silence(now, InstanceId::from(worker), silence),
+                Err(err) => unreadable(node, part, &entry.key, &err),
+            }
+            continue;
+        }
         match rmp_serde::from_slice::<Record>(&value) {
             Ok(record) => scheduler.load(Id::from(entry.key), record),
             Err(err) => unreadable(node, part, &entry.key, &err),
@@ -301,7 +320,12 @@
             Event::Looked(id, Err(answer)) => self.scheduler.look_failed(now, &id, answer),
             Event::Started(id, key, answer) => self.scheduler.started(now, &id, &key, answer),
             Event::Stopped(id, answer) => self.scheduler.stopped(now, &id, answer),
-            Event::Committed(Ok(())) => self.scheduler.committed(now),
+            Event::Advised(step, Some(advice)) => self.scheduler.advised(now, step, advice.approved, advice.validity),
+            Event::Advised(step, None) => self.scheduler.not_advised(&step),
+            Event::Committed(Ok(sequence)) => {
+                self.sequence = sequence + 1;
+                self.scheduler.committed(now);
+            }
             Event::Committed(Err(err)) => {
                 watch::failed(&self.node, "commit", &err);
                 self.scheduler.fence();
@@ -422,6 +446,33 @@
                     let _ = events.send(Event::Looked(id, look));
                 });
             }
+            Action::Pace { worker: id, key, percent } => {
+                let (events, token) = (self.events.clone(), self.epoch);
+                let node = self.node.clone();
+                let worker = self.workers.get(&id).cloned();
+                self.tasks.spawn(async move {
+                    let Some(worker) = worker else { return };
+                    let answer = worker.pace(&key, percent, token).await;
+                    count_order(&node, "pace", answer);
+                    let _ = events.send(Event::Stopped(id, answer));
+                });
+            }
+            Action::Advise { step, workers } => {
+                let (events, node) = (self.events.clone(), self.node.clone());
+                self.tasks.spawn(async move {
+                    let (job, turn, number) = &step;
+                    let advice = match &node.adviser {
+                        Some(adviser) => adviser.advise(job, *turn, *number, &workers, ADVICE_TIMEOUT).await.ok(),
+                        None => None,
+                    };
+                    let approved = advice.as_ref().map(|it| it.approved.len());
+                    node.decisions.line(
+                        "advice",
+                        json!({ "job": job, "step": number, "asked": workers.len(), "approved": approved }),
+                    );
+                    let _ = events.send(Event::Advised(step, advice));
+                });
+            }
             Action::Note(note) => self.note(&note),
         }
     }
@@ -438,20 +489,21 @@
             Note::Refused { .. } => "order_refused",
             Note::Contact { .. } => "contact",
             Note::Suspect { .. } => "suspect",
+            Note::Silent { .. } => "silent",
             Note::Interrupted { .. } => "interrupted",
         };
         self.node.decisions.line(kind, note);
     }
 
     /// Appends records, again and again until the log has answered.
-    fn commit(&mut self, records: Vec<(Id, Option<Bytes>)>) {
+    fn commit(&mut self, records: Vec<(Arc<str>, Option<Bytes>)>) {
         let (node, events) = (self.node.clone(), self.events.clone());
         let part = Part {
             topic: JOBS,
             number: self.part,
         };
-        let entry = |(id, value): (Id, Option<Bytes>)| Entry {
-            key: id.to_string(),
+        let entry = |(key, value): (Arc<str>, Option<Bytes>)| Entry {
+            key: key.to_string(),
             value,
         };
         let entries: Vec<Entry> = records.into_iter().map(entry).collect();
@@ -459,13 +511,14 @@
             epoch: self.epoch,
             sequence: self.sequence,
         };
-        self.sequence += 1;
-        let first = self.sequence == 1;
+        // Whether the append that set the epoch took a number is for the log to say.
+        let first = !self.numbered;
+        self.numbered = true;
         self.tasks.spawn(async move {
             let started = clock::now().mono;
             let result = loop {
                 match node.log.append(part, Some(writer), &entries, CALL_TIMEOUT).await {
-                    Ok(()) => break Ok(()),
+                    Ok(()) => break Ok(writer.sequence),
                     Err(Error::Sequence { expected }) if first => writer.sequence = expected,
                     Err(err @ (Error::Fenced | Error::Sequence { .. })) => break Err(err),
                     Err(err) => watch::failed(&node, "commit", &err),
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -72,8 +72,19 @@
     ),
 ];
 
+/// Settings that may change while the process runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Longest lease that workers grant.
+    pub lease_max: Duration,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Time between orders of two holders of fleet duties.
+    pub duty_lease: Duration,
+}
+
 /// Settings in force.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Name of this instance.
     pub name: String,
@@ -97,12 +108,8 @@
     pub machines: Option<SocketAddr>,
     /// Address of the service that gives advice.
     pub advice: Option<SocketAddr>,
-    /// Longest lease that workers grant.
-    pub lease_max: Duration,
-    /// Time from SIGTERM to SIGKILL.
-    pub grace: Duration,
-    /// Time between orders of two holders of fleet duties.
-    pub duty_lease: Duration,
+    /// What may change while the process runs.
+    pub bounds: Bounds,
     /// File descriptors of this instance.
     pub descriptors: usize,
 }
@@ -131,9 +138,11 @@
             member_ttl: file.millis("platform", "member_ttl_ms"),
             machines: file.text("platform", "machines").parse().ok(),
             advice: file.text("platform", "advice").parse().ok(),
-            lease_max: file.millis("bounds", "lease_max_ms"),
-            grace: file.millis("bounds", "grace_ms"),
-            duty_lease: file.millis("bounds", "duty_lease_ms"),
+            bounds: Bounds {
+                lease_max: file.millis("bounds", "lease_max_ms"),
+                grace: file.millis("bounds", "grace_ms"),
+                duty_lease: file.millis("bounds", "duty_lease_ms"),
+            },
             descriptors: file.number("limits", "descriptors") as usize,
         }
     }
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -130,7 +130,8 @@
     );
 }
 
-/// Follows the settings file. What cannot be changed while the process runs is only reported.
+/// Follows the settings file. A bad file leaves the settings in force; what
+/// cannot be changed while the process runs is only reported.
 pub(crate) async fn settings(node: Arc<Node>, path: PathBuf) {
     use tokio::signal::unix::{SignalKind, signal};
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
@@ -148,7 +149,15 @@
         }
         last = text;
         match Settings::load(&path) {
-            Ok(_) => node.decisions.line("reload", json!({ "signal": asked, "outcome": "checked" })),
+            Ok(new) => {
+                node.bounds.store(Arc::new(new.bounds));
+                let fixed = Settings {
+                    bounds: node.settings.bounds,
+                    ..new
+                } != node.settings;
+                node.decisions
+                    .line("reload", json!({ "signal": asked, "outcome": "applied", "needs_restart": fixed }));
+            }
             Err(err) => node
                 .decisions
                 .line("reload", json!({ "signal": asked, "outcome": "refused", "error": err.to_string() })),
--- a/lib/src/catalog.rs
+++ b/lib/src/catalog.rs
@@ -37,6 +37,8 @@
     pub prefix: String,
     /// Pool whose workers run its jobs.
     pub pool: PoolId,
+    /// Pools that it fed before, as far as this process has seen.
+    pub former: Vec<PoolId>,
     /// Whether it takes jobs without a key.
     pub open: bool,
     /// Urgency; zero goes first.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -32,10 +32,13 @@
 //! - [`roster`]: workers as the owner of their pool sees them.
 //! - [`scheduler`]: the owner of a pool.
 //! - [`quota`]: teams' caps divided among owners.
+//! - [`silence`]: what the log keeps of silent workers.
+//! - [`advice`]: which workers may run a step.
 //! - [`balance`]: instances moved between pools as demand moves.
 //! - [`exchange`]: calls between entry instances on the platform.
 
 mod adopt;
+pub mod advice;
 pub mod balance;
 pub mod catalog;
 pub mod clock;
@@ -70,9 +73,11 @@
 pub mod scheduler;
 pub mod setting;
 pub mod share;
+pub mod silence;
 pub mod snapshot;
 pub mod spec;
 pub mod state;
+mod throttle;
 pub mod tree;
 pub mod wave;
 pub mod wire;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -1,10 +1,11 @@
 //! Which task goes to which worker.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 
 use crate::clock::Now;
 use crate::durable::{Id, Record, Ref, State};
-use crate::id::InstanceId;
+use crate::id::{InstanceId, RackId};
 use crate::need::Need;
 use crate::roster::{Run, RunKey, RunPhase, Worker};
 use crate::scheduler::{Note, Scheduler};
@@ -116,6 +117,7 @@
     fn place_each(&mut self, now: Now, group: &[Ref]) -> bool {
         for task in group {
             let Some(worker) = self.choose(now, task) else {
+                self.ask_advice(now, task);
                 return false;
             };
             let run = self.next_run(task);
@@ -146,6 +148,7 @@
             self.workers.get_mut(worker).expect("it was chosen").used -= need;
         }
         if chosen.len() != group.len() {
+            self.ask_advice(now, &group[0]);
             return false;
         }
         let team = self.jobs[&group[0].job].record.submission.team.clone();
@@ -177,8 +180,9 @@
         }
         let fits = |it: &&Worker| self.may_take(now, it, record, step, task);
         let workers = self.workers.values().filter(fits);
+        let rack = self.rack_for(step, task);
         let best = workers.max_by_key(|it| {
-            let near = step.rack.is_empty() || it.listed.rack == step.rack;
+            let near = rack.as_ref().is_none_or(|rack| it.listed.rack == *rack);
             // Full workers first: what stays idle can be lent to other pools.
             let room = it.listed.capacity.less(&it.used).cpu;
             (!it.is_suspect(now.mono), near, Reverse(room), Reverse(it.listed.id.clone()))
@@ -186,6 +190,25 @@
         Some(best.listed.id.clone())
     }
 
+    /// The rack that a step runs best on: that of its data, else the one where
+    /// its tasks run already, else the one with the most room.
+    fn rack_for(&self, step: &Step, task: &Ref) -> Option<RackId> {
+        if !step.rack.is_empty() {
+            return Some(step.rack.clone());
+        }
+        if !step.same_rack {
+            return None;
+        }
+        let pool = &self.jobs[&task.job].record.submission.pool;
+        let mut racks: BTreeMap<&RackId, (u32, u64)> = BTreeMap::new();
+        for worker in self.workers.values().filter(|it| it.present && it.listed.pool == *pool) {
+            let entry = racks.entry(&worker.listed.rack).or_default();
+            entry.0 += worker.count_of(&task.job, task.turn, task.step);
+            entry.1 += worker.listed.capacity.less(&worker.used).cpu;
+        }
+        racks.into_iter().max_by_key(|(_, it)| *it).map(|(rack, _)| rack.clone())
+    }
+
     fn may_take(&self, now: Now, worker: &Worker, record: &Record, step: &Step, task: &Ref) -> bool {
         let listed = &worker.listed;
         worker.is_open(now.mono)
@@ -193,6 +216,8 @@
             && !self.catalog.zones_out.contains(&listed.zone)
             && step.reserved().fits(&worker.used, &listed.capacity)
             && (step.label.is_empty() || listed.labels.contains(&step.label))
+            && (!step.fill || worker.pace == 100)
+            && self.ticket(now, task, &listed.id).is_some()
             && (step.spread == 0 || worker.count_of(&task.job, task.turn, task.step) < step.spread)
     }
 
@@ -221,6 +246,7 @@
                 until_ms: 0,
                 percent: 0,
                 progressed: now.mono,
+                pace: 100,
                 stop_sent: None,
             },
         );
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -87,6 +87,8 @@
     pub percent: u32,
     /// When the progress last changed.
     pub progressed: Duration,
+    /// Speed that it was told to work at, percent.
+    pub pace: u32,
     /// When the stop was last ordered.
     pub stop_sent: Option<Duration>,
 }
@@ -125,6 +127,14 @@
     pub vacate_until: Duration,
     /// Since when it is to be empty.
     pub vacate_since: Duration,
+    /// Speed of tasks that fill, percent.
+    pub pace: u32,
+    /// When that speed was last changed.
+    pub paced_at: Duration,
+    /// When its silence was last recorded; its leases must not be renewed while a record stands.
+    pub silence_written: Option<Duration>,
+    /// Whether the removal of that record is on its way to the log.
+    pub silence_removal: bool,
     clock: Option<Clock>,
     ended_by: Duration,
     fails: u32,
@@ -147,6 +157,10 @@
             misses: 0,
             vacate_until: Duration::ZERO,
             vacate_since: Duration::ZERO,
+            pace: 100,
+            paced_at: Duration::ZERO,
+            silence_written: None,
+            silence_removal: false,
             clock: None,
             ended_by,
             fails: 0,
@@ -218,9 +232,19 @@
         self.ended_by < now
     }
 
+    /// Time until all that was started here has surely ended.
+    pub fn time_left(&self, now: Duration) -> Duration {
+        self.ended_by.saturating_sub(now)
+    }
+
     /// Whether new work may go there, apart from what it can hold.
     pub fn is_open(&self, now: Duration) -> bool {
-        self.present && self.touched && !self.listed.draining && self.misses == 0 && self.vacate_until <= now
+        self.present
+            && self.touched
+            && self.silence_written.is_none()
+            && !self.listed.draining
+            && self.misses == 0
+            && self.vacate_until <= now
     }
 
     /// Whether it has been failing what it runs.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 
+use crate::advice::{StepKey, Tickets};
 use crate::balance::Load;
 use crate::catalog::{Catalog, Queue};
 use crate::clock::Now;
@@ -20,12 +21,15 @@
 use crate::need::Need;
 use crate::pace::Arrivals;
 use crate::roster::{Listed, Run, RunKey, RunPhase, Worker};
+use crate::silence::SILENCE_PREFIX;
 
 /// Time after which an order to start is void.
 /// Ten times the slowest answer of a healthy worker across zones.
 const START_LIMIT: Duration = Duration::from_millis(1000);
 /// Time for which a look waits for something to end.
 const LOOK_WAIT: Duration = Duration::from_millis(1500);
+/// The same while tasks are throttled there.
+const LOOK_WAIT_THROTTLED: Duration = Duration::from_millis(500);
 /// Least time between two looks at a worker; ends that come within it share a look.
 const LOOK_GAP: Duration = Duration::from_millis(60);
 /// Least time between two looks while the log takes no records.
@@ -170,7 +174,7 @@
 #[derive(Clone, Debug)]
 pub enum Action {
     /// Append records under the owner's epoch, and say when they are in.
-    Commit(Vec<(Id, Option<Bytes>)>),
+    Commit(Vec<(Arc<str>, Option<Bytes>)>),
     /// Remove requests that stand in the log as jobs.
     Forget(Vec<Id>),
     /// Order a start.
@@ -182,6 +186,22 @@
         /// The run.
         key: RunKey,
     },
+    /// Order a run to work at a part of its speed.
+    Pace {
+        /// The worker.
+        worker: InstanceId,
+        /// The run.
+        key: RunKey,
+        /// The speed.
+        percent: u32,
+    },
+    /// Ask which workers may run a step.
+    Advise {
+        /// The step.
+        step: StepKey,
+        /// The workers.
+        workers: Vec<InstanceId>,
+    },
     /// Look at a worker, renewing leases.
     Look {
         /// The worker.
@@ -284,6 +304,15 @@
         /// Runs that may take place there.
         runs: usize,
     },
+    /// A worker that does not answer is recorded, with what may run there.
+    Silent {
+        /// The worker.
+        worker: InstanceId,
+        /// Runs that may take place there.
+        runs: usize,
+        /// Time until they have surely ended, milliseconds.
+        left_ms: u64,
+    },
     /// A worker is avoided because of what it fails.
     Suspect {
         /// The worker.
@@ -308,6 +337,7 @@
     jobs: Vec<(Id, Phase)>,
     intents: Vec<(InstanceId, RunKey)>,
     recorded: Vec<(InstanceId, u64, u64)>,
+    silences: Vec<(InstanceId, bool)>,
 }
 
 /// The owner of pools that share a partition of the log.
@@ -331,6 +361,8 @@
     forget: Vec<Id>,
     last_forget: Duration,
     arrivals: HashMap<PoolId, Arrivals>,
+    pub(crate) advice: HashMap<StepKey, Tickets>,
+    pub(crate) silences: HashMap<InstanceId, Duration>,
     fenced: bool,
     pub(crate) room_retry: Duration,
     pub(crate) actions: Vec<Action>,
@@ -357,6 +389,8 @@
             last_commit: Duration::ZERO,
             forget: Vec::new(),
             arrivals: HashMap::new(),
+            advice: HashMap::new(),
+            silences: HashMap::new(),
             last_forget: now.mono,
             fenced: false,
             room_retry: Duration::ZERO,
@@ -443,12 +477,10 @@
     /// Sets the workers that the platform lists for these pools.
     pub fn set_workers(&mut self, now: Now, listed: Vec<Listed>) {
         let mut gone: HashSet<InstanceId> = self.workers.keys().cloned().collect();
-        // An earlier owner may have renewed leases until its own term ended.
-        let inherited_end = self.acquired + self.bounds.term + self.bounds.lease.mul_f64(1.03) + START_LIMIT;
         for line in listed {
             gone.remove(&line.id);
             let Some(worker) = self.workers.get_mut(&line.id) else {
-                let mut worker = Worker::new(line.clone(), inherited_end);
+                let mut worker = self.known_before(line.clone());
                 self.inherit(&mut worker);
                 self.workers.insert(line.id, worker);
                 continue;
@@ -467,7 +499,7 @@
         for id in gone {
             let worker = self.workers.get_mut(&id).expect("names come from the map");
             worker.present = false;
-            if worker.runs.is_empty() && !worker.looking {
+            if worker.runs.is_empty() && !worker.looking && worker.silence_written.is_none() {
                 self.workers.remove(&id);
             }
         }
@@ -485,7 +517,6 @@
                 }
             }
         }
-        let ended_by = self.acquired + self.bounds.term + self.bounds.lease.mul_f64(1.03) + START_LIMIT;
         for id in missing {
             let listed = Listed {
                 id: id.clone(),
@@ -498,13 +529,27 @@
                 draining: true,
                 born_ms: 0,
             };
-            let mut worker = Worker::new(listed, ended_by);
+            let mut worker = self.known_before(listed);
             worker.present = false;
             self.inherit(&mut worker);
             self.workers.insert(id, worker);
         }
     }
 
+    /// A worker on which an earlier owner may have started something.
+    fn known_before(&self, listed: Listed) -> Worker {
+        // The earlier owner renewed leases until its own term ended, unless it
+        // had recorded that the worker was silent.
+        let renewed = self.acquired + self.bounds.term + self.bounds.lease.mul_f64(1.03) + START_LIMIT;
+        let silent = self.silences.get(&listed.id);
+        let mut worker = Worker::new(listed, silent.map_or(renewed, |it| renewed.min(*it)));
+        if silent.is_some() {
+            worker.silence_written = Some(self.acquired);
+            worker.misses = 1;
+        }
+        worker
+    }
+
     /// Adds the runs that records place on a worker.
     fn inherit(&mut self, worker: &mut Worker) {
         for id in &self.open {
@@ -524,6 +569,7 @@
                     until_ms: 0,
                     percent: 0,
                     progressed: self.acquired,
+                    pace: 100,
                     stop_sent: None,
                 };
                 *self.usage.entry(run.team.clone()).or_default() += run.need;
@@ -562,10 +608,11 @@
             self.ended(now, id, end);
         }
         let mut listed = HashSet::new();
-        for active in look.active {
+        for active in &look.active {
             listed.insert(active.key.clone());
             self.active(now, id, look.clock_ms, active);
         }
+        self.throttle(now, id, &look.active);
         if whole {
             self.settle(now, id, look.clock_ms, &listed);
         }
@@ -622,7 +669,7 @@
     }
 
     /// Takes in a run that a worker lists.
-    fn active(&mut self, now: Now, id: &InstanceId, clock_ms: u64, active: Active) {
+    fn active(&mut self, now: Now, id: &InstanceId, clock_ms: u64, active: &Active) {
         let wanted = self.is_wanted(id, &active.key);
         let worker = self.workers.get_mut(id).expect("the caller looked it up");
         if let Some(run) = worker.runs.get_mut(&active.key) {
@@ -647,6 +694,7 @@
                 until_ms: 0,
                 percent: active.percent,
                 progressed: now.mono,
+                pace: 100,
                 stop_sent: None,
             };
             *self.usage.entry(team).or_default() += need;
@@ -660,7 +708,7 @@
             && let Some(tracked) = self.jobs.get_mut(&active.key.task.job)
             && let Some(position) = tracked.record.position(&active.key.task)
         {
-            tracked.record.tasks[position].checkpoint = active.checkpoint;
+            tracked.record.tasks[position].checkpoint = active.checkpoint.clone();
         }
     }
 
@@ -849,6 +897,7 @@
 
     fn closed(&mut self, now: Now, id: &Id) {
         self.open.remove(id);
+        self.advice.retain(|(job, _, _), _| job != id);
         let record = &self.jobs[id].record;
         let phase = match record.phase {
             Phase::Open => "open",
@@ -967,7 +1016,8 @@
                     worker.next_look = now.mono;
                 }
             }
-            Refusal::Old | Refusal::Late | Refusal::Ticket | Refusal::Malformed => {}
+            Refusal::Ticket => self.drop_ticket(&key.task, id),
+            Refusal::Old | Refusal::Late | Refusal::Malformed => {}
         }
         let stopping = self.workers.get(id).and_then(|it| it.runs.get(key)).is_some();
         if stopping {
@@ -1014,6 +1064,14 @@
                 worker.recorded = worker.recorded.max(seen);
             }
         }
+        for (id, removed) in batch.silences {
+            if let Some(worker) = self.workers.get_mut(&id)
+                && removed
+            {
+                worker.silence_written = None;
+                worker.silence_removal = false;
+            }
+        }
         for (id, key) in batch.intents {
             self.start(now, id, key);
         }
@@ -1030,7 +1088,8 @@
         }
         let clock_ms = worker.and_then(|it| it.clock_ms(now.mono));
         let open = worker.is_some_and(|it| it.is_open(now.mono) && !out(it));
-        let (true, true, Some(clock_ms)) = (wanted, open, clock_ms) else {
+        let ticket = self.ticket(now, &key.task, &id);
+        let (true, true, Some(clock_ms), Some(ticket)) = (wanted, open, clock_ms, ticket) else {
             self.release(&id, &key);
             self.revert(now, &id, &key, "not_sent");
             return;
@@ -1049,7 +1108,7 @@
             payload: record.spec().payload.clone(),
             checkpoint: record.tasks[position].checkpoint.clone(),
             until_ms,
-            ticket: None,
+            ticket,
             key,
         };
         self.actions.push(Action::Start(start));
@@ -1121,7 +1180,7 @@
             }
             let until_ms = worker.clock_ms(now.mono).map(|it| it + self.bounds.lease.as_millis() as u64);
             // A renewal that is never answered would keep its runs in doubt for ever.
-            let until_ms = until_ms.filter(|_| renews && runs && worker.misses == 0);
+            let until_ms = until_ms.filter(|_| renews && runs && worker.misses == 0 && worker.silence_written.is_none());
             if let Some(until_ms) = until_ms {
                 worker.extend(until_ms);
             }
@@ -1129,7 +1188,9 @@
             if blocked {
                 worker.next_look = now.mono + LOOK_GAP_UNRECORDED;
             }
+            let throttles = worker.pace < 100;
             let wait = match worker.touched && runs && !blocked {
+                true if throttles => LOOK_WAIT_THROTTLED,
                 true => LOOK_WAIT,
                 false => Duration::ZERO,
             };
@@ -1163,7 +1224,7 @@
 
     /// Appends what has changed, one commit at a time.
     fn commit(&mut self, now: Now) {
-        let idle = self.dirty.is_empty() && self.removed.is_empty();
+        let idle = self.dirty.is_empty() && self.removed.is_empty() && !self.owes_silences(now);
         if self.in_flight.is_some() || now.mono < self.last_commit + COMMIT_GAP {
             return;
         }
@@ -1190,6 +1251,10 @@
             records.push((id, Some(Bytes::from(encoded))));
         }
         records.extend(self.removed.drain(..).map(|id| (id, None)));
+        for (id, value) in self.silence_records(now) {
+            batch.silences.push((id.clone(), value.is_none()));
+            records.push((Arc::from(format!("{SILENCE_PREFIX}{id}")), value));
+        }
         batch.intents = std::mem::take(&mut self.intents);
         self.in_flight = Some(batch);
         self.last_commit = now.mono;
--- /dev/null
+++ b/lib/src/silence.rs
@@ -0,0 +1,71 @@
+//! What the log keeps of silent workers, so that each new owner of a pool need
+//! not wait anew for the longest lease that an earlier one may have granted.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Now;
+use crate::id::InstanceId;
+use crate::scheduler::{Note, Scheduler};
+
+/// Prefix of the keys of these records among those of jobs.
+pub const SILENCE_PREFIX: &str = "w/";
+/// Time between two records of one worker.
+const REFRESH: Duration = Duration::from_secs(1);
+
+/// A worker that does not answer and whose leases are not renewed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Silence {
+    /// Time from the writing of the record in which all that runs there ends, milliseconds.
+    pub left_ms: u64,
+}
+
+impl Scheduler {
+    /// Takes over what an earlier owner recorded of a silent worker. The record is
+    /// older than this reading, so the time counts from now at the latest.
+    pub fn load_silence(&mut self, now: Now, id: InstanceId, silence: Silence) {
+        self.silences.insert(id, now.mono + Duration::from_millis(silence.left_ms));
+    }
+
+    /// Records to be written of workers that went silent or answer again.
+    pub(crate) fn silence_records(&mut self, now: Now) -> Vec<(InstanceId, Option<Bytes>)> {
+        let mut records = Vec::new();
+        let mut notes = Vec::new();
+        for worker in self.workers.values_mut() {
+            let runs = worker.runs.len();
+            let silent = worker.misses != 0 && runs != 0 && !worker.has_lapsed(now.mono);
+            let due = worker.silence_written.is_none_or(|it| it + REFRESH <= now.mono);
+            if silent && due {
+                let left_ms = worker.time_left(now.mono).as_millis() as u64 + 1;
+                let encoded = rmp_serde::to_vec(&Silence { left_ms }).expect("records can be encoded");
+                if worker.silence_written.is_none() {
+                    notes.push(Note::Silent {
+                        worker: worker.listed.id.clone(),
+                        runs,
+                        left_ms,
+                    });
+                }
+                worker.silence_written = Some(now.mono);
+                records.push((worker.listed.id.clone(), Some(Bytes::from(encoded))));
+            } else if !silent && worker.silence_written.is_some() && !worker.silence_removal {
+                worker.silence_removal = true;
+                records.push((worker.listed.id.clone(), None));
+            }
+        }
+        for note in notes {
+            self.note(note);
+        }
+        records
+    }
+
+    /// Whether a commit is owed to silent workers.
+    pub(crate) fn owes_silences(&self, now: Now) -> bool {
+        self.workers.values().any(|it| {
+            let silent = it.misses != 0 && !it.runs.is_empty() && !it.has_lapsed(now.mono);
+            let due = it.silence_written.is_none_or(|at| at + REFRESH <= now.mono);
+            silent && due || !silent && it.silence_written.is_some() && !it.silence_removal
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/throttle.rs
@@ -0,0 +1,69 @@
+//! Throttling of tasks that fill, so that lasting tasks beside them stay below
+//! their response times.
+
+use std::time::Duration;
+
+use crate::clock::Now;
+use crate::id::InstanceId;
+use crate::roster::{RunKey, RunPhase};
+use crate::scheduler::{Action, Active, Scheduler};
+
+/// Part of the target from which tasks that fill are slowed down.
+/// Response times vary by a tenth between two looks.
+const SLOW_ABOVE: f64 = 0.9;
+/// Part of the target below which they may speed up again.
+const SPEED_BELOW: f64 = 0.6;
+/// Time between two changes; the figures cover the last half second.
+const SETTLE: Duration = Duration::from_millis(600);
+/// Speed regained in one change, percent.
+const REGAIN: u32 = 20;
+/// Speed below which they stand still, percent.
+const LEAST: u32 = 15;
+
+impl Scheduler {
+    /// Sets the speed of tasks that fill on a worker by what its lasting tasks show.
+    pub(crate) fn throttle(&mut self, now: Now, id: &InstanceId, active: &[Active]) {
+        let mut worst: Option<f64> = None;
+        for shown in active {
+            let Some(tracked) = self.jobs.get(&shown.key.task.job) else {
+                continue;
+            };
+            let step = tracked.record.step(shown.key.task.step);
+            if let (true, Some(figure)) = (0 < step.target_ms, shown.figure) {
+                let part = figure as f64 / step.target_ms as f64;
+                worst = Some(worst.map_or(part, |it| it.max(part)));
+            }
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let pace = match worst {
+            None => 100,
+            Some(_) if now.mono < worker.paced_at + SETTLE => worker.pace,
+            Some(part) if SLOW_ABOVE < part && worker.pace / 2 < LEAST => 0,
+            Some(part) if SLOW_ABOVE < part => worker.pace / 2,
+            Some(part) if part < SPEED_BELOW => (worker.pace + REGAIN).min(100),
+            Some(_) => worker.pace,
+        };
+        if pace != worker.pace {
+            worker.pace = pace;
+            worker.paced_at = now.mono;
+        }
+        let mut changed: Vec<RunKey> = Vec::new();
+        for (key, run) in &mut worker.runs {
+            let fills = self.jobs.get(&key.task.job).is_some_and(|it| it.record.step(key.task.step).fill);
+            let lasting = self.jobs.get(&key.task.job).is_some_and(|it| it.record.step(key.task.step).lasting);
+            if fills && !lasting && run.phase == RunPhase::Active && run.pace != pace {
+                run.pace = pace;
+                changed.push(key.clone());
+            }
+        }
+        for key in changed {
+            self.actions.push(Action::Pace {
+                worker: id.clone(),
+                key,
+                percent: pace,
+            });
+        }
+    }
+}
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use oriolewall::advice::StepKey;
 use oriolewall::catalog::{Catalog, Pool, Queue, Team};
 use oriolewall::clock::Now;
 use oriolewall::durable::{Id, Record, Ref, Request, State, Submission};
@@ -12,6 +13,7 @@
 use oriolewall::need::Need;
 use oriolewall::roster::{Listed, RunKey};
 use oriolewall::scheduler::{Action, Active, Answer, Bounds, End, How, Look, Refusal, Scheduler, Start, Status};
+use oriolewall::silence::SILENCE_PREFIX;
 use oriolewall::spec::{Job, Step};
 
 const LEASE: Duration = Duration::from_secs(5);
@@ -27,6 +29,8 @@
     stops: Vec<RunKey>,
     looks: Vec<(InstanceId, u64, Option<u64>)>,
     forgotten: Vec<Id>,
+    paces: Vec<(RunKey, u32)>,
+    asked: Vec<(StepKey, Vec<InstanceId>)>,
     commits: usize,
     confirms: bool,
 }
@@ -62,6 +66,7 @@
         host: "host".to_owned(),
         prefix: "/q/".to_owned(),
         pool: Arc::from("pool"),
+        former: Vec::new(),
         open: true,
         priority: 0,
         attempts: 2,
@@ -127,6 +132,8 @@
             stops: Vec::new(),
             looks: Vec::new(),
             forgotten: Vec::new(),
+            paces: Vec::new(),
+            asked: Vec::new(),
             commits: 0,
             confirms: true,
         };
@@ -139,8 +146,12 @@
         let bounds = Bounds { lease: LEASE, term: TERM };
         self.owner = Scheduler::new(bounds, self.now);
         for (id, value) in &self.stored {
-            let record: Record = rmp_serde::from_slice(value).unwrap();
-            self.owner.load(id.clone(), record);
+            match id.strip_prefix(SILENCE_PREFIX) {
+                Some(worker) => self
+                    .owner
+                    .load_silence(self.now, Arc::from(worker), rmp_serde::from_slice(value).unwrap()),
+                None => self.owner.load(id.clone(), rmp_serde::from_slice(value).unwrap()),
+            }
         }
         self.starts.clear();
     }
@@ -191,6 +202,8 @@
                 ..
             } => self.looks.push((worker, recorded, until_ms)),
             Action::Forget(ids) => self.forgotten.extend(ids),
+            Action::Pace { key, percent, .. } => self.paces.push((key, percent)),
+            Action::Advise { step, workers } => self.asked.push((step, workers)),
             Action::Note(_) => {}
         }
     }
@@ -652,3 +665,138 @@
     fixture.pass(100);
     assert_eq!(fixture.starts.len(), 2);
 }
+
+#[test]
+fn a_start_on_an_advised_queue_carries_a_ticket() {
+    let mut fixture = Fixture::new(vec![worker("w1"), worker("w2")]);
+    let mut queue = Queue::clone(&fixture.catalog.queues["queue"]);
+    queue.advice = true;
+    fixture.catalog.queues.insert(queue.name.clone(), Arc::new(queue));
+    fixture.list();
+    fixture.pass(50);
+    fixture.look("w1", 500, vec![], vec![]);
+    fixture.look("w2", 500, vec![], vec![]);
+    fixture.request("job", submit("", vec![step(1, 1000)]));
+    fixture.pass(200);
+    assert!(fixture.starts.is_empty());
+    assert_eq!(fixture.asked.len(), 1, "one call is under way");
+    let (step, _) = fixture.asked[0].clone();
+    let approved = vec![(InstanceId::from("w2"), Arc::from("ticket"))];
+    fixture.owner.advised(fixture.now, step, approved, Duration::from_secs(3));
+    fixture.pass(100);
+    assert_eq!(fixture.starts.len(), 1);
+    assert_eq!(&*fixture.starts[0].worker, "w2");
+    assert_eq!(fixture.starts[0].ticket.as_deref(), Some("ticket"));
+}
+
+#[test]
+fn tasks_that_fill_are_slowed_while_others_miss_their_target() {
+    let mut fixture = Fixture::new(vec![worker("w1")]);
+    fixture.pass(50);
+    fixture.look("w1", 500, vec![], vec![]);
+    let mut serving = step(1, 1000);
+    serving.lasting = true;
+    serving.target_ms = 100;
+    let mut filling = step(1, 1000);
+    filling.fill = true;
+    fixture.request("serving", submit("", vec![serving]));
+    fixture.request("filling", submit("", vec![filling]));
+    fixture.pass(1000);
+    assert_eq!(fixture.starts.len(), 2);
+    let shown = |fixture: &mut Fixture, clock_ms: u64, tail_ms: u64| {
+        let active = fixture.starts.iter().map(|it| Active {
+            key: it.key.clone(),
+            checkpoint: Arc::from(""),
+            percent: 100,
+            figure: Some(tail_ms),
+        });
+        let look = Look {
+            clock_ms,
+            born_ms: 1000,
+            active: active.collect(),
+            ended: vec![],
+        };
+        fixture.owner.looked(fixture.now, &Arc::from("w1"), look);
+        fixture.pass(700);
+    };
+    for round in 0..4 {
+        shown(&mut fixture, 2000 + 700 * round, 150);
+    }
+    let speeds: Vec<u32> = fixture.paces.iter().map(|(_, percent)| *percent).collect();
+    assert_eq!(speeds, vec![50, 25, 0]);
+    shown(&mut fixture, 6000, 20);
+    assert_eq!(fixture.paces.last().unwrap().1, 20);
+}
+
+#[test]
+fn tasks_that_belong_together_run_on_one_rack() {
+    let mut far = worker("w2");
+    far.rack = Arc::from("r2");
+    far.capacity.cpu = 6000;
+    let mut fixture = Fixture::new(vec![worker("w1"), far]);
+    fixture.pass(50);
+    fixture.look("w1", 500, vec![], vec![]);
+    fixture.look("w2", 500, vec![], vec![]);
+    let mut together = step(4, 1500);
+    together.same_rack = true;
+    fixture.request("job", submit("", vec![together]));
+    fixture.pass(200);
+    assert!(fixture.starts.iter().all(|it| &*it.worker == "w1"));
+}
+
+#[test]
+fn owners_that_follow_each_other_do_not_wait_anew_for_a_silent_worker() {
+    // Bench: apmas-cellyard trouble-2 --seed 548027342396, LOST: each owner of a
+    // rolling restart waited for the longest lease from its own start.
+    let mut fixture = Fixture::new(vec![worker("w1"), worker("w2")]);
+    fixture.pass(50);
+    fixture.look("w1", 500, vec![], vec![]);
+    fixture.look("w2", 500, vec![], vec![]);
+    let mut lasting = step(1, 1000);
+    lasting.lasting = true;
+    fixture.request("job", submit("", vec![lasting]));
+    fixture.pass(100);
+    let (silent, key) = (fixture.starts[0].worker.clone(), fixture.starts[0].key.clone());
+    let other = if &*silent == "w1" { "w2" } else { "w1" };
+    fixture.look(&silent, 700, vec![key], vec![]);
+    fixture.pass(100);
+    fixture.owner.look_failed(fixture.now, &silent, Answer::Lost);
+    let mut started_after = None;
+    for second in 0..8 {
+        fixture.pass(1000);
+        fixture.owner.look_failed(fixture.now, &silent, Answer::Lost);
+        if !fixture.starts.is_empty() && 0 < second {
+            started_after = Some(second);
+            break;
+        }
+        fixture.succeed();
+        fixture.list();
+        fixture.pass(20);
+        fixture.look(other, 2000 + 1000 * second, vec![], vec![]);
+        fixture.owner.look_failed(fixture.now, &silent, Answer::Lost);
+    }
+    let started_after = started_after.expect("the task runs elsewhere");
+    assert!(4 <= started_after, "not before the lease of 5 s has ended");
+}
+
+#[test]
+fn a_lease_is_not_renewed_while_the_log_says_that_its_worker_is_silent() {
+    let mut fixture = Fixture::new(vec![worker("w1")]);
+    fixture.pass(50);
+    fixture.look("w1", 500, vec![], vec![]);
+    fixture.request("job", submit("", vec![step(1, 1000)]));
+    fixture.pass(100);
+    let key = fixture.starts[0].key.clone();
+    fixture.look("w1", 700, vec![key.clone()], vec![]);
+    fixture.pass(100);
+    fixture.owner.look_failed(fixture.now, &Arc::from("w1"), Answer::Lost);
+    fixture.pass(100);
+    assert!(fixture.stored.contains_key("w/w1"));
+    fixture.confirms = false;
+    fixture.look("w1", 1200, vec![key], vec![]);
+    fixture.looks.clear();
+    fixture.pass(600);
+    assert!(fixture.looks.iter().all(|(_, _, until)| until.is_none()));
+    fixture.owner.committed(fixture.now);
+    fixture.look("w1", 1900, vec![], vec![]);
+}
