tests: owners in a row wait for one lease, counted from the first

Cause: the new test expected 8 s, but the first owner itself may follow one that renewed leases for 9.15 s. Change: the bound is worked out from term, lease and limit of an order.

--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -762,7 +762,7 @@
     fixture.pass(100);
     fixture.owner.look_failed(fixture.now, &silent, Answer::Lost);
     let mut started_after = None;
-    for second in 0..8 {
+    for second in 0..14 {
         fixture.pass(1000);
         fixture.owner.look_failed(fixture.now, &silent, Answer::Lost);
         if !fixture.starts.is_empty() && 0 < second {
@@ -776,7 +776,8 @@
         fixture.owner.look_failed(fixture.now, &silent, Answer::Lost);
     }
     let started_after = started_after.expect("the task runs elsewhere");
-    assert!(4 <= started_after, "not before the lease of 5 s has ended");
+    // An owner before the first one may have renewed for 3 s + 5.15 s + 1 s.
+    assert!((4..=9).contains(&started_after), "{started_after} s");
 }
 
 #[test]
