duty: holders announce the instances they order; the rest need no wait

Change: a holder records under its epoch which instances it is about to order; the next one leaves only these alone.

--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -2,10 +2,12 @@
 //! instances between pools, and their upkeep in waves. The owner of one
 //! partition has them.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use oriole_platform::log::{DUTIES, Entry, Error, Tail, Writer};
 use oriole_platform::machine::{Answer, Machine, Machines, State};
 use oriolewall::balance::{Instance, Load, Move, Planner};
 use oriolewall::exchange::{Call, PartId, Reply, Report};
@@ -16,7 +18,7 @@
 
 use crate::node::Node;
 use crate::upkeep::Waves;
-use crate::{clock, peer};
+use crate::{clock, peer, watch};
 
 /// Partition whose owner has the duties.
 pub(crate) const PART: PartId = 0;
@@ -24,6 +26,10 @@
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Time added to the platform's bound between orders of two holders.
 const HANDOVER_SLACK: Duration = Duration::from_millis(500);
+/// Tries to write a record under the right number.
+const TRIES: usize = 2;
+/// Key of the record of instances ordered lately.
+const RECENT: &str = "recent";
 /// Time for a call.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Age of a report after which a pool's instances stay where they are.
@@ -61,32 +67,116 @@
     Reply::Grants(ledger.report(now, &catalog, &parts, report))
 }
 
+/// The right to give orders to instances, under one epoch.
+///
+/// Orders of two holders for one instance must lie apart. So a holder records
+/// which instances it is about to order, and the next one leaves these alone
+/// for a while; once its epoch stands in the log, no earlier holder can record more.
+#[derive(Debug)]
+pub(crate) struct Holder {
+    /// The epoch, and the token of the orders.
+    pub(crate) token: u64,
+    writer: Writer,
+    /// Instances that an earlier holder may still order.
+    theirs: HashMap<Arc<str>, Duration>,
+    /// Instances ordered lately.
+    ours: HashMap<Arc<str>, Duration>,
+}
+
+impl Holder {
+    /// Sets the epoch and reads what earlier holders recorded.
+    async fn take(node: &Node, token: u64) -> Result<(Holder, Tail), Error> {
+        let mut writer = Writer { epoch: token, sequence: 0 };
+        match node.log.append(DUTIES, Some(writer), &[], CALL_TIMEOUT).await {
+            Ok(()) => {}
+            Err(Error::Sequence { expected }) => writer.sequence = expected,
+            Err(err) => return Err(err),
+        }
+        let tail = node.log.newest(DUTIES, CALL_TIMEOUT).await?;
+        let recent = tail.entries.iter().find(|it| it.key == RECENT).and_then(|it| it.value.as_deref());
+        let names: Vec<Arc<str>> = recent.and_then(|it| rmp_serde::from_slice(it).ok()).unwrap_or_default();
+        let until = clock::now().mono + node.bounds.load().duty_lease + HANDOVER_SLACK;
+        let holder = Holder {
+            token,
+            writer,
+            theirs: names.into_iter().map(|it| (it, until)).collect(),
+            ours: HashMap::new(),
+        };
+        Ok((holder, tail))
+    }
+
+    /// Whether no earlier holder can order an instance any more.
+    pub(crate) fn is_free(&self, name: &str) -> bool {
+        self.theirs.get(name).is_none_or(|until| *until < clock::now().mono)
+    }
+
+    /// Records that instances are about to be ordered; returns whether they may be.
+    pub(crate) async fn announce(&mut self, node: &Node, names: &[Arc<str>]) -> bool {
+        let now = clock::now().mono;
+        let keep = node.bounds.load().duty_lease + HANDOVER_SLACK + CALL_TIMEOUT;
+        self.ours.retain(|_, at| now < *at + keep);
+        self.theirs.retain(|_, until| now < *until);
+        self.ours.extend(names.iter().map(|it| (it.clone(), now)));
+        let recent: Vec<&Arc<str>> = self.ours.keys().chain(self.theirs.keys()).collect();
+        let value = rmp_serde::to_vec(&recent).expect("names can be encoded");
+        self.record(node, RECENT, value).await && node.is_member() && node.owned(PART).is_some_and(|it| it.epoch == self.token)
+    }
+
+    /// Writes a record that the next holder reads; returns whether it is in the log.
+    pub(crate) async fn record(&mut self, node: &Node, key: &str, value: Vec<u8>) -> bool {
+        let entry = Entry {
+            key: key.to_owned(),
+            value: Some(Bytes::from(value)),
+        };
+        for _ in 0..TRIES {
+            match node
+                .log
+                .append(DUTIES, Some(self.writer), std::slice::from_ref(&entry), CALL_TIMEOUT)
+                .await
+            {
+                Ok(()) => {
+                    self.writer.sequence += 1;
+                    return true;
+                }
+                Err(Error::Sequence { expected }) => self.writer.sequence = expected,
+                Err(err) => {
+                    watch::failed(node, "duties", &err);
+                    return false;
+                }
+            }
+        }
+        false
+    }
+}
+
 /// Has the duties whenever this instance owns their partition.
 pub(crate) async fn run(node: Arc<Node>) {
     let Some(addr) = node.settings.machines else {
         return;
     };
     let machines = Arc::new(Machines::new(addr, node.settings.name.clone()));
-    let mut held: Option<(u64, Duration)> = None;
-    let mut waves = Waves::default();
-    let mut planner = Planner::default();
+    let mut held: Option<(Holder, Waves, Planner)> = None;
     loop {
         tokio::time::sleep(INTERVAL).await;
         let Some(owned) = node.owned(PART) else {
             held = None;
             continue;
         };
-        let now = clock::now().mono;
-        if held.is_none_or(|(epoch, _)| epoch != owned.epoch) {
-            held = Some((owned.epoch, now));
-            waves = Waves::load(&node).await;
-            planner = Planner::default();
-        }
-        // Orders of two holders must lie this far apart.
-        let since = held.map_or(now, |it| it.1);
-        if now < since + node.bounds.load().duty_lease + HANDOVER_SLACK || !node.is_member() {
+        if !node.is_member() {
             continue;
         }
+        if held.as_ref().is_none_or(|(holder, _, _)| holder.token != owned.epoch) {
+            held = match Holder::take(&node, owned.epoch).await {
+                Ok((holder, tail)) => Some((holder, Waves::load(tail), Planner::default())),
+                Err(err) => {
+                    watch::failed(&node, "duties", &err);
+                    None
+                }
+            };
+        }
+        let Some((holder, waves, planner)) = held.as_mut() else {
+            continue;
+        };
         let listed = match machines.list(CALL_TIMEOUT).await {
             Ok(listed) => listed,
             Err(err) => {
@@ -97,16 +187,11 @@
                 continue;
             }
         };
-        waves.advance(&node, &machines, &listed, owned.epoch).await;
-        balance(&node, &machines, &mut planner, &waves, &listed, owned.epoch).await;
+        waves.advance(&node, &machines, &listed, holder).await;
+        balance(&node, &machines, planner, waves, &listed, holder).await;
     }
 }
 
-/// Whether this instance may give orders under a token.
-pub(crate) fn may_order(node: &Node, token: u64) -> bool {
-    node.is_member() && node.owned(PART).is_some_and(|it| it.epoch == token)
-}
-
 /// Has a worker emptied; returns whether nothing runs there.
 pub(crate) async fn is_vacant(node: &Arc<Node>, pool: &PoolId, worker: Option<InstanceId>) -> bool {
     let Some(worker) = worker else {
@@ -117,7 +202,14 @@
 }
 
 /// Moves instances to where they are needed.
-async fn balance(node: &Arc<Node>, machines: &Arc<Machines>, planner: &mut Planner, waves: &Waves, listed: &[Machine], token: u64) {
+async fn balance(
+    node: &Arc<Node>,
+    machines: &Arc<Machines>,
+    planner: &mut Planner,
+    waves: &Waves,
+    listed: &[Machine],
+    holder: &mut Holder,
+) {
     let now = clock::now().mono;
     let catalog = node.catalog.load_full();
     let loads = match node.duties.lock() {
@@ -148,7 +240,7 @@
             worker: it.worker.clone(),
             cpu: listed.map_or(it.capacity.cpu, |it| it.capacity.cpu),
             serves: matches!(it.state, State::Up | State::Moving) && !held_back.contains(&it.name),
-            movable: it.state == State::Up && !held_back.contains(&it.name),
+            movable: it.state == State::Up && !held_back.contains(&it.name) && holder.is_free(&it.name),
         }
     };
     let out = |it: &Instance| catalog.zones_out.contains(&it.zone);
@@ -162,27 +254,34 @@
             json!({ "pools": planner.standings(), "used_waiting_arriving": demand, "moves": moves.len() }),
         );
     }
-    let mut orders = JoinSet::new();
+    let mut checks = JoinSet::new();
     for order in moves {
         planner.ordered(now, &order);
-        orders.spawn(carry_out(node.clone(), machines.clone(), order, token));
+        let node = node.clone();
+        checks.spawn(async move { (is_vacant(&node, &order.from, order.worker.clone()).await, order) });
+    }
+    let checked = checks.join_all().await;
+    let vacant: Vec<Move> = checked.into_iter().filter(|(vacant, _)| *vacant).map(|(_, order)| order).collect();
+    let names: Vec<Arc<str>> = vacant.iter().map(|it| it.name.clone()).collect();
+    if names.is_empty() || !holder.announce(node, &names).await {
+        return;
     }
-    while let Some(done) = orders.join_next().await {
-        if let Ok((order, Some(Answer::Unknown))) = done {
+    let mut orders = JoinSet::new();
+    for order in vacant {
+        orders.spawn(carry_out(node.clone(), machines.clone(), order, holder.token));
+    }
+    for (order, answer) in orders.join_all().await {
+        if answer == Answer::Unknown {
             planner.refused(now, &order);
         }
     }
 }
 
-async fn carry_out(node: Arc<Node>, machines: Arc<Machines>, order: Move, token: u64) -> (Move, Option<Answer>) {
-    let vacant = is_vacant(&node, &order.from, order.worker.clone()).await;
-    if !vacant || !may_order(&node, token) {
-        return (order, None);
-    }
+async fn carry_out(node: Arc<Node>, machines: Arc<Machines>, order: Move, token: u64) -> (Move, Answer) {
     let answer = machines.relocate(&order.name, &order.to, token, CALL_TIMEOUT).await;
     node.decisions.line(
         "move",
         json!({ "instance": order.name, "from": order.from, "to": order.to, "token": token, "outcome": format!("{answer:?}") }),
     );
-    (order, Some(answer))
+    (order, answer)
 }
--- a/fleet/src/upkeep.rs
+++ b/fleet/src/upkeep.rs
@@ -2,18 +2,22 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use oriole_platform::log::{DUTIES, Entry, STATUS};
+use oriole_platform::log::{Entry, STATUS, Tail};
 use oriole_platform::machine::{Answer, Machine, Machines, State};
 use oriolewall::catalog::Wave;
 use oriolewall::exchange::{Call, PartId, Reply};
 use oriolewall::id::{InstanceId, PoolId};
 use serde_json::json;
 
-use crate::duty::{self, CALL_TIMEOUT};
+use crate::duty::{self, CALL_TIMEOUT, Holder};
 use crate::node::Node;
-use crate::{peer, watch};
+use crate::{clock, peer, watch};
+
+/// Time after an announcement in which orders may be sent.
+const ORDER_WITHIN: Duration = Duration::from_secs(1);
 
 /// How far each wave is.
 #[derive(Debug, Default)]
@@ -32,18 +36,11 @@
 
 impl Waves {
     /// What earlier holders of the duties recorded.
-    pub(crate) async fn load(node: &Node) -> Waves {
+    pub(crate) fn load(tail: Tail) -> Waves {
         let mut waves = Waves::default();
-        let tail = match node.log.newest(DUTIES, CALL_TIMEOUT).await {
-            Ok(tail) => tail,
-            Err(err) => {
-                // Orders that were carried out before are answered as done.
-                watch::failed(node, "duties", &err);
-                return waves;
-            }
-        };
         for entry in tail.entries {
             let names: Option<Vec<Arc<str>>> = entry.value.as_deref().and_then(|it| rmp_serde::from_slice(it).ok());
+            // Other records of the duties have keys that are no numbers.
             if let (Ok(number), Some(names)) = (entry.key.parse(), names) {
                 waves.waves.entry(number).or_default().begun.extend(names);
             }
@@ -57,7 +54,7 @@
     }
 
     /// Takes all waves on that are not completed.
-    pub(crate) async fn advance(&mut self, node: &Arc<Node>, machines: &Machines, listed: &[Machine], token: u64) {
+    pub(crate) async fn advance(&mut self, node: &Arc<Node>, machines: &Machines, listed: &[Machine], holder: &mut Holder) {
         let catalog = node.catalog.load_full();
         let mut vacating = HashSet::new();
         for (number, wave) in &catalog.waves {
@@ -69,11 +66,10 @@
                 node,
                 machines,
                 listed,
-                token,
                 number: *number,
                 earlier: &self.vacating,
             };
-            vacating.extend(step.advance(wave, progress).await);
+            vacating.extend(step.advance(wave, progress, holder).await);
         }
         self.vacating = vacating;
     }
@@ -84,7 +80,6 @@
     node: &'a Arc<Node>,
     machines: &'a Machines,
     listed: &'a [Machine],
-    token: u64,
     number: u64,
     earlier: &'a HashSet<Arc<str>>,
 }
@@ -92,7 +87,7 @@
 impl Step<'_> {
     /// Begins upkeep where workers are empty, as far as the ceiling allows.
     /// Returns the instances that are being emptied.
-    async fn advance(&self, wave: &Wave, progress: &mut Progress) -> HashSet<Arc<str>> {
+    async fn advance(&self, wave: &Wave, progress: &mut Progress, holder: &mut Holder) -> HashSet<Arc<str>> {
         if progress.shown.is_none() && self.show("running").await {
             progress.shown = Some("running");
         }
@@ -103,7 +98,10 @@
         let due = wave.instances.iter().filter(|it| !progress.begun.contains(*it));
         let due: Vec<(&Arc<str>, &Machine)> = due.filter_map(|it| Some((it, *by_name.get(&**it)?))).collect();
         let mut left = due.len();
-        let mut ready: Vec<(&Arc<str>, &Machine)> = due.into_iter().filter(|(_, it)| it.state == State::Up).collect();
+        let mut ready: Vec<(&Arc<str>, &Machine)> = due
+            .into_iter()
+            .filter(|(_, it)| it.state == State::Up && holder.is_free(&it.name))
+            .collect();
         let loads = self.loads(&ready).await;
         // Busy workers come last; many will be idle by then.
         ready.sort_by_key(|(name, machine)| {
@@ -111,6 +109,7 @@
             (!self.earlier.contains(*name), load, (*name).clone())
         });
         let mut vacating = HashSet::new();
+        let mut vacant: Vec<Arc<str>> = Vec::new();
         let mut by_pool: HashMap<&PoolId, usize> = HashMap::new();
         for (name, machine) in ready {
             if room == 0 {
@@ -122,14 +121,29 @@
             }
             *taken += 1;
             room -= 1;
-            if duty::is_vacant(self.node, &machine.pool, machine.worker.clone()).await && self.begin(name).await {
-                progress.begun.insert(name.clone());
-                self.record(progress).await;
-                left -= 1;
+            if duty::is_vacant(self.node, &machine.pool, machine.worker.clone()).await {
+                vacant.push(name.clone());
             } else {
                 vacating.insert(name.clone());
             }
         }
+        if !vacant.is_empty() && holder.announce(self.node, &vacant).await {
+            let announced = clock::now().mono;
+            for name in vacant {
+                // Slow answers: the rest is announced again in the next round.
+                if announced + ORDER_WITHIN < clock::now().mono {
+                    break;
+                }
+                if self.begin(&name, holder.token).await {
+                    progress.begun.insert(name);
+                    left -= 1;
+                }
+            }
+            // Without the record the next holder asks again; the platform answers that it is done.
+            let names: Vec<&Arc<str>> = progress.begun.iter().collect();
+            let value = rmp_serde::to_vec(&names).expect("names can be encoded");
+            holder.record(self.node, &self.number.to_string(), value).await;
+        }
         if left == 0 && self.show("completed").await {
             progress.shown = Some("completed");
         }
@@ -156,32 +170,15 @@
         all
     }
 
-    async fn begin(&self, name: &str) -> bool {
-        // Another holder may have come meanwhile, with a higher token.
-        if !duty::may_order(self.node, self.token) {
-            return false;
-        }
-        let answer = self.machines.upkeep(name, self.number, self.token, CALL_TIMEOUT).await;
+    async fn begin(&self, name: &str, token: u64) -> bool {
+        let answer = self.machines.upkeep(name, self.number, token, CALL_TIMEOUT).await;
         self.node.decisions.line(
             "upkeep",
-            json!({ "instance": name, "wave": self.number, "token": self.token, "outcome": format!("{answer:?}") }),
+            json!({ "instance": name, "wave": self.number, "token": token, "outcome": format!("{answer:?}") }),
         );
         matches!(answer, Answer::Done | Answer::Wave)
     }
 
-    async fn record(&self, progress: &Progress) {
-        let names: Vec<&Arc<str>> = progress.begun.iter().collect();
-        let value = rmp_serde::to_vec(&names).expect("names can be encoded");
-        let entry = Entry {
-            key: self.number.to_string(),
-            value: Some(Bytes::from(value)),
-        };
-        // Without the record the next holder asks again; the platform answers that it is done.
-        if let Err(err) = self.node.log.append(DUTIES, None, &[entry], CALL_TIMEOUT).await {
-            watch::failed(self.node, "duties", &err);
-        }
-    }
-
     /// Shows operators how far the wave is; returns whether that stands in the log.
     async fn show(&self, state: &'static str) -> bool {
         let entry = Entry {
