upkeep, placement, front: waves paced, small jobs first, relays rotate

Cause: a wave emptied ten busy workers at the height of demand; resting before any demand cost the first turn; jobs ordered by slack alone were all finished just too late under overload; a relay went to the same instance, also if the log turned it away. Change: waves take resting workers and those with lasting tasks only at once, busy ones by the time left; nothing rests before demand was watched for 5 s; jobs that are in time go small and begun ones first; each try goes through another instance.

--- a/fleet/src/front.rs
+++ b/fleet/src/front.rs
@@ -28,6 +28,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Time for one try to append a request.
 const APPEND_TRY: Duration = Duration::from_millis(800);
+/// Time for one try through another instance.
+const RELAY_TRY: Duration = Duration::from_millis(500);
 /// Time for tries to find a way to the log, while nothing has been sent.
 /// A quarter of the tightest objective is 150 ms.
 const REFUSE_AFTER: Duration = Duration::from_millis(120);
@@ -191,13 +193,16 @@
 async fn store(node: &Arc<Node>, part: PartId, id: &Id, request: durable::Request, deadline: Instant) -> Reply {
     let refuse_at = Instant::now() + REFUSE_AFTER;
     let mut maybe = false;
-    let mut direct = true;
+    // An instance that the log turns away asks another one first.
+    let mut direct = node.reaches_log();
+    let mut tries = 0;
     loop {
         let left = deadline.saturating_duration_since(Instant::now()).min(APPEND_TRY);
         let reply = match direct {
             true => peer::append(node, part, id, &request, left).await,
-            false => relay(node, part, id, &request, left).await,
+            false => relay(node, tries, part, id, &request, left).await,
         };
+        tries += 1;
         match reply {
             Reply::Done => return Reply::Done,
             Reply::Unavailable | Reply::NotOwner => {}
@@ -215,19 +220,23 @@
 }
 
 /// Has another instance append a request: the log may turn only this one away.
-async fn relay(node: &Arc<Node>, part: PartId, id: &Id, request: &durable::Request, timeout: Duration) -> Reply {
+async fn relay(node: &Arc<Node>, tries: usize, part: PartId, id: &Id, request: &durable::Request, timeout: Duration) -> Reply {
     let owners = node.owners.load_full();
-    let owner = owners.get(&part).filter(|it| **it != node.settings.peers);
-    let other = owner.or_else(|| owners.values().find(|it| **it != node.settings.peers));
-    let Some(addr) = other else {
+    let mut others: Vec<_> = owners.values().filter(|it| **it != node.settings.peers).copied().collect();
+    others.sort();
+    others.dedup();
+    if others.is_empty() {
         return Reply::Unavailable;
-    };
+    }
+    // Another one with each try, and not the same one from everywhere.
+    let spread: usize = id.bytes().map(usize::from).sum();
+    let addr = others[(spread + tries) % others.len()];
     let call = Call::Append {
         part,
         id: id.clone(),
         request: request.clone(),
     };
-    peer::remote(node, *addr, call, timeout).await
+    peer::remote(node, addr, call, timeout.min(RELAY_TRY)).await
 }
 
 async fn status(node: &Arc<Node>, target: &Target, id: &Id) -> Answer {
--- a/fleet/src/upkeep.rs
+++ b/fleet/src/upkeep.rs
@@ -16,6 +16,9 @@
 use crate::node::Node;
 use crate::{clock, peer, watch};
 
+/// Part of a wave's time in which it is to be done.
+/// The rest is for workers that are slow to empty and for changes of the holder.
+const PACE: f64 = 0.6;
 /// Time after an announcement in which orders may be sent.
 const ORDER_WITHIN: Duration = Duration::from_secs(1);
 
@@ -28,6 +31,8 @@
 
 #[derive(Debug, Default)]
 struct Progress {
+    /// When the wave was first seen, milliseconds since the epoch.
+    since_ms: u64,
     /// Instances whose upkeep has begun.
     begun: HashSet<Arc<str>>,
     /// The state that operators read.
@@ -39,10 +44,12 @@
     pub(crate) fn load(tail: Tail) -> Waves {
         let mut waves = Waves::default();
         for entry in tail.entries {
-            let names: Option<Vec<Arc<str>>> = entry.value.as_deref().and_then(|it| rmp_serde::from_slice(it).ok());
+            let known: Option<(u64, Vec<Arc<str>>)> = entry.value.as_deref().and_then(|it| rmp_serde::from_slice(it).ok());
             // Other records of the duties have keys that are no numbers.
-            if let (Ok(number), Some(names)) = (entry.key.parse(), names) {
-                waves.waves.entry(number).or_default().begun.extend(names);
+            if let (Ok(number), Some((since_ms, names))) = (entry.key.parse(), known) {
+                let progress = waves.waves.entry(number).or_default();
+                progress.since_ms = since_ms;
+                progress.begun.extend(names);
             }
         }
         waves
@@ -88,6 +95,10 @@
     /// Begins upkeep where workers are empty, as far as the ceiling allows.
     /// Returns the instances that are being emptied.
     async fn advance(&self, wave: &Wave, progress: &mut Progress, holder: &mut Holder) -> HashSet<Arc<str>> {
+        let now_ms = clock::now().wall_ms();
+        if progress.since_ms == 0 {
+            progress.since_ms = now_ms;
+        }
         if progress.shown.is_none() && self.show("running").await {
             progress.shown = Some("running");
         }
@@ -108,6 +119,11 @@
             let load = machine.worker.as_ref().and_then(|it| loads.get(it)).copied().unwrap_or(0);
             (!self.earlier.contains(*name), load, (*name).clone())
         });
+        // Instances that rest or have only lasting tasks, which move, cost little.
+        // Others are emptied only as far as the time that is left asks for.
+        let part = now_ms.saturating_sub(progress.since_ms) as f64 / (wave.duration_ms as f64 * PACE).max(1.0);
+        let due_by_now = (wave.instances.len() as f64 * part).ceil() as usize;
+        let mut behind = due_by_now.saturating_sub(progress.begun.len());
         let mut vacating = HashSet::new();
         let mut vacant: Vec<Arc<str>> = Vec::new();
         let mut by_pool: HashMap<&PoolId, usize> = HashMap::new();
@@ -116,9 +132,11 @@
                 break;
             }
             let taken = by_pool.entry(&machine.pool).or_default();
-            if self.spared_by(&machine.pool) <= *taken {
+            let load = machine.worker.as_ref().and_then(|it| loads.get(it)).copied().unwrap_or(0);
+            if self.spared_by(&machine.pool) <= *taken || 0 < load && behind == 0 {
                 continue;
             }
+            behind = behind.saturating_sub(1);
             *taken += 1;
             room -= 1;
             if duty::is_vacant(self.node, &machine.pool, machine.worker.clone()).await {
@@ -141,7 +159,7 @@
             }
             // Without the record the next holder asks again; the platform answers that it is done.
             let names: Vec<&Arc<str>> = progress.begun.iter().collect();
-            let value = rmp_serde::to_vec(&names).expect("names can be encoded");
+            let value = rmp_serde::to_vec(&(progress.since_ms, names)).expect("names can be encoded");
             holder.record(self.node, &self.number.to_string(), value).await;
         }
         if left == 0 && self.show("completed").await {
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -21,6 +21,9 @@
 const REST_AFTER: Duration = Duration::from_millis(800);
 /// Time until an instance that a pool refused is offered again.
 const REFUSED_FOR: Duration = Duration::from_secs(30);
+/// Time in which demand is watched before anything rests.
+/// The first turn of demand needs most instances at once.
+const WATCH: Duration = Duration::from_secs(5);
 /// Time for a move to show in the platform's list.
 const IN_TRANSIT: Duration = Duration::from_millis(2500);
 
@@ -77,6 +80,7 @@
     idle_since: HashMap<Arc<str>, Duration>,
     ordered: HashMap<Arc<str>, (PoolId, Duration)>,
     refused: HashMap<(Arc<str>, PoolId), Duration>,
+    working_since: Option<Duration>,
     standings: BTreeMap<PoolId, Standing>,
 }
 
@@ -112,7 +116,11 @@
         let mut resting: Vec<&Instance> = instances.iter().filter(|it| standby.contains(&it.pool)).collect();
         resting.retain(|it| it.movable && !self.ordered.contains_key(&it.name));
         let mut moves = self.lend(loads, &mut pools, &mut resting);
-        if let Some(rest) = standby.first() {
+        if loads.values().any(|it| 0 < it.arriving) {
+            self.working_since.get_or_insert(now);
+        }
+        let watched = self.working_since.is_some_and(|since| since + WATCH <= now);
+        if let Some(rest) = standby.first().filter(|_| watched) {
             moves.extend(self.rest(now, rest, &mut pools));
         }
         moves
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -81,7 +81,7 @@
     Done,
     /// Whether nothing runs on the worker.
     Vacant(bool),
-    /// Processor time in use by worker, thousandths of a core.
+    /// Processor by worker that tasks use which end by themselves, thousandths of a core.
     Loads(HashMap<InstanceId, u64>),
     /// What the owner may have running by team.
     Grants(HashMap<TeamId, Need>),
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -15,6 +15,10 @@
 /// Beyond this a full pool costs a scan of every queued job on each pass.
 const BLOCKED_LIMIT: usize = 32;
 
+/// Part of the objective that must be left beyond the estimated run time.
+/// Estimates are off by that much in the mean of the lower half.
+const MARGIN_PART: f64 = 0.05;
+
 /// How far a job is from its objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -48,7 +52,7 @@
     /// Jobs with tasks that may start, in the order in which they get room.
     fn order(&self, now: Now) -> Vec<Id> {
         let now_ms = now.wall_ms();
-        let mut jobs: Vec<(Urgency, u32, i64, &Id)> = Vec::new();
+        let mut jobs: Vec<(Urgency, u32, bool, i64, &Id)> = Vec::new();
         for id in &self.open {
             let record = &self.jobs[id].record;
             if !record.tasks.iter().any(|it| it.state == State::Waiting) {
@@ -64,14 +68,19 @@
             let slack = objective - age - remaining_ms(record) as i64;
             let urgency = match () {
                 () if record.spec().is_lasting() => Urgency::Lasting,
-                () if 0 <= slack => Urgency::InTime,
+                () if MARGIN_PART * objective as f64 <= slack as f64 => Urgency::InTime,
                 () if age <= 3 * objective => Urgency::Late,
                 () => Urgency::Overdue,
             };
-            jobs.push((urgency, priority, slack, id));
+            // While there is more work than room, small jobs first serve most callers.
+            let weight = match urgency {
+                Urgency::InTime => (record.spec().work() / 1_000_000) as i64,
+                _ => slack,
+            };
+            jobs.push((urgency, priority, record.is_untouched(), weight, id));
         }
         jobs.sort();
-        jobs.into_iter().map(|(_, _, _, id)| id.clone()).collect()
+        jobs.into_iter().map(|(_, _, _, _, id)| id.clone()).collect()
     }
 
     /// Places what it can of a job; returns whether something found no room.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -1368,9 +1368,15 @@
         worker.touched && worker.runs.is_empty()
     }
 
-    /// Processor time in use on each worker, thousandths of a core.
+    /// Processor on each worker that tasks use which end by themselves, thousandths of a core.
     pub fn loads(&self) -> HashMap<InstanceId, u64> {
-        self.workers.values().map(|it| (it.listed.id.clone(), it.used.cpu)).collect()
+        let ending = |key: &RunKey| {
+            self.jobs
+                .get(&key.task.job)
+                .is_some_and(|it| !it.record.step(key.task.step).lasting)
+        };
+        let load = |it: &Worker| it.runs.iter().filter(|(key, _)| ending(key)).map(|(_, run)| run.reserved.cpu).sum();
+        self.workers.values().map(|it| (it.listed.id.clone(), load(it))).collect()
     }
 
     /// Has a job's record written with the next commit.
