scheduler: clocks of earlier lives are not read; a pool's world in virtual time

Cause: a new test of owners in virtual time broke QUOTA and TWICE: the answer to an order of a worker's earlier life set its clock, and a renewal by the old clock could outlast what the owner expected of the new life. Change: order answers set no clock; a new life counts as leased for the longest lease that workers grant.

--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -172,8 +172,10 @@
         tokio::time::sleep(PAUSE).await;
     }
     let now = clock::now();
+    let lease_max = node.bounds.load().lease_max;
     let bounds = Bounds {
-        lease: node.bounds.load().lease_max.mul_f64(LEASE_PART).min(LEASE_MAX),
+        lease: lease_max.mul_f64(LEASE_PART).min(LEASE_MAX),
+        lease_max,
         term: TERM,
     };
     let mut scheduler = Scheduler::new(bounds, now);
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -193,12 +193,13 @@
         keys
     }
 
-    /// Takes a new life of the worker into account.
-    pub fn reborn(&mut self, born_ms: u64) -> Vec<RunKey> {
+    /// Takes a new life of the worker into account. A renewal by the clock of the
+    /// life before may have reached it, so its leases may last until `ended_by`.
+    pub fn reborn(&mut self, born_ms: u64, ended_by: Duration) -> Vec<RunKey> {
         self.listed.born_ms = born_ms;
         self.seen = 0;
         self.recorded = 0;
-        self.ended_by = Duration::ZERO;
+        self.ended_by = ended_by;
         self.clear()
     }
 
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -54,6 +54,8 @@
 pub struct Bounds {
     /// Length of leases.
     pub lease: Duration,
+    /// Longest lease that workers grant, whatever is asked.
+    pub lease_max: Duration,
     /// Time after the last proof of ownership during which leases are renewed.
     pub term: Duration,
 }
@@ -489,7 +491,7 @@
             // A worker known only from records may be in any of its lives.
             let was_known = worker.listed.born_ms != 0;
             if was_known && worker.listed.born_ms < line.born_ms {
-                let lost = worker.reborn(line.born_ms);
+                let lost = worker.reborn(line.born_ms, now.mono + self.bounds.lease_max.mul_f64(1.03));
                 worker.listed = line.clone();
                 self.lose(now, &line.id, lost, "reborn");
             } else if !was_known || worker.listed.born_ms == line.born_ms {
@@ -588,7 +590,7 @@
             worker.listed.born_ms = look.born_ms;
         }
         if worker.listed.born_ms < look.born_ms {
-            let lost = worker.reborn(look.born_ms);
+            let lost = worker.reborn(look.born_ms, now.mono + self.bounds.lease_max.mul_f64(1.03));
             self.lose(now, id, lost, "reborn");
         } else if look.born_ms != 0 && look.born_ms < worker.listed.born_ms {
             // An answer of an earlier life.
@@ -976,14 +978,13 @@
         match answer {
             Answer::Done { clock_ms } => {
                 self.answered(now, id);
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.read_clock(clock_ms, now.mono);
-                    if let Some(run) = worker.runs.get_mut(key) {
-                        run.seen_ms = run.seen_ms.max(clock_ms);
-                        run.progressed = now.mono;
-                        if run.phase == RunPhase::Sent {
-                            run.phase = RunPhase::Active;
-                        }
+                // Without the run the worker has a new life since, with another clock.
+                let worker = self.workers.get_mut(id);
+                if let Some(run) = worker.and_then(|it| it.runs.get_mut(key)) {
+                    run.seen_ms = run.seen_ms.max(clock_ms);
+                    run.progressed = now.mono;
+                    if run.phase == RunPhase::Sent {
+                        run.phase = RunPhase::Active;
                     }
                 }
             }
@@ -1029,12 +1030,7 @@
     /// Takes in the answer to an order to stop; the end itself is listed.
     pub fn stopped(&mut self, now: Now, id: &InstanceId, answer: Answer) {
         match answer {
-            Answer::Done { clock_ms } => {
-                self.answered(now, id);
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.read_clock(clock_ms, now.mono);
-                }
-            }
+            Answer::Done { .. } => self.answered(now, id),
             Answer::Refused(Refusal::Fenced) => self.fenced = true,
             Answer::Refused(_) => {}
             Answer::Lost => self.missed(id),
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -121,7 +121,11 @@
 
 impl Fixture {
     fn new(workers: Vec<Listed>) -> Fixture {
-        let bounds = Bounds { lease: LEASE, term: TERM };
+        let bounds = Bounds {
+            lease: LEASE,
+            lease_max: 2 * LEASE,
+            term: TERM,
+        };
         let mut fixture = Fixture {
             now: at(0),
             owner: Scheduler::new(bounds, at(0)),
@@ -143,7 +147,11 @@
 
     /// Another owner takes over from what is in the log.
     fn succeed(&mut self) {
-        let bounds = Bounds { lease: LEASE, term: TERM };
+        let bounds = Bounds {
+            lease: LEASE,
+            lease_max: 2 * LEASE,
+            term: TERM,
+        };
         self.owner = Scheduler::new(bounds, self.now);
         for (id, value) in &self.stored {
             match id.strip_prefix(SILENCE_PREFIX) {
