--- a/fleet/src/front.rs
+++ b/fleet/src/front.rs
@@ -12,7 +12,7 @@
 use oriolewall::durable::{self, Id, Submission};
 use oriolewall::exchange::{Call, PartId, Reply};
 use oriolewall::id::TeamId;
-use oriolewall::scheduler::Status;
+use oriolewall::inquiry::Status;
 use serde_json::json;
 use tokio::time::Instant;
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `watch`: operators' configuration and the list of workers.
 //! - `group`: which partitions this instance owns.
 //! - `owner`: runs the scheduler of a partition.
+//! - `takeover`: takes a partition over from the log.
 //! - `front`: callers' requests.
 //! - `peer`: calls between entry instances.
 //! - `duty`: caps divided, and instances moved between pools.
@@ -25,6 +26,7 @@
 mod peer;
 mod serve;
 pub mod settings;
+mod takeover;
 mod upkeep;
 mod watch;
 
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -11,35 +11,28 @@
 use oriole_platform::log::{Entry, Error, JOBS, Part, REQUESTS, Tail, Writer};
 use oriole_platform::worker::Worker;
 use oriolewall::advice::StepKey;
-use oriolewall::durable::{Id, QueueId, Record, Request};
+use oriolewall::durable::{Id, QueueId};
 use oriolewall::exchange::{Call, PartId, Reply, Report};
 use oriolewall::id::{InstanceId, TeamId};
+use oriolewall::inquiry::Status;
 use oriolewall::need::Need;
+use oriolewall::note::Note;
+use oriolewall::order::{Action, Answer, Look};
 use oriolewall::quota;
 use oriolewall::roster::{Listed, RunKey};
-use oriolewall::scheduler::{Action, Answer, Bounds, Look, Note, Scheduler, Status};
-use oriolewall::silence::{SILENCE_PREFIX, Silence};
+use oriolewall::scheduler::Scheduler;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 
 use crate::node::Node;
+use crate::takeover::{cancel_key, follow_requests, still_owned, take_over, take_requests};
 use crate::{clock, duty, peer, watch};
 
-/// Time after the last proof of ownership during which leases are renewed.
-/// A member's time to live is 2 s; after that there may be a later owner.
-const TERM: Duration = Duration::from_millis(2200);
-/// Lease as a part of the longest that workers grant.
-const LEASE_PART: f64 = 0.6;
-/// Longest lease. With the term it outlasts an outage of the log of 6 s; a
-/// silent worker's tasks start elsewhere when it has ended.
-const LEASE_MAX: Duration = Duration::from_millis(4500);
 /// Time for a call to the log.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Pause after a failed call to the log.
-const PAUSE: Duration = Duration::from_millis(100);
-/// Time for which a read of requests waits.
-const TAIL_WAIT: Duration = Duration::from_secs(2);
+pub(crate) const PAUSE: Duration = Duration::from_millis(100);
 /// Time after which an owner that has read no requests cannot tell that a job does not exist.
 const TAIL_FRESH: Duration = Duration::from_millis(4500);
 /// Time between two reports on teams' caps.
@@ -49,8 +42,6 @@
 /// Time for which a worker is kept empty after it was asked for.
 /// Orders are sent within 1.2 s of the question and may take 1.5 s; the rest is for late ones.
 const VACATE_TERM: Duration = Duration::from_secs(4);
-/// Suffix of the key of a request to cancel.
-const CANCEL_SUFFIX: char = '!';
 
 /// What an owner is told.
 #[derive(Debug)]
@@ -85,11 +76,6 @@
     Vacate(InstanceId, oneshot::Sender<Reply>),
 }
 
-/// The key of a request to cancel a job.
-pub(crate) fn cancel_key(id: &Id) -> String {
-    format!("{id}{CANCEL_SUFFIX}")
-}
-
 struct Owner {
     node: Arc<Node>,
     part: PartId,
@@ -152,119 +138,6 @@
         .line("ownership", json!({ "part": part, "epoch": epoch, "outcome": "ended" }));
 }
 
-/// Sets the epoch and reads the jobs and requests; `None` if a later owner is there.
-async fn take_over(node: &Node, part: PartId, epoch: u64) -> Option<(Scheduler, u64)> {
-    let jobs = Part { topic: JOBS, number: part };
-    let requests = Part {
-        topic: REQUESTS,
-        number: part,
-    };
-    let writer = Writer { epoch, sequence: 0 };
-    while let Err(err) = node.log.append(jobs, Some(writer), &[], CALL_TIMEOUT).await {
-        // The number of an empty append is not checked against those before it.
-        match err {
-            Error::Sequence { .. } => break,
-            Error::Fenced => return None,
-            err => watch::failed(node, "epoch", &err),
-        }
-        if !still_owned(node, part, epoch) {
-            return None;
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-    let now = clock::now();
-    let lease_max = node.bounds.load().lease_max;
-    let bounds = Bounds {
-        lease: lease_max.mul_f64(LEASE_PART).min(LEASE_MAX),
-        lease_max,
-        term: TERM,
-    };
-    let mut scheduler = Scheduler::new(bounds, now);
-    for entry in read_all(node, jobs, epoch).await?.entries {
-        let Some(value) = entry.value else {
-            continue;
-        };
-        if let Some(worker) = entry.key.strip_prefix(SILENCE_PREFIX) {
-            match rmp_serde::from_slice::<Silence>(&value) {
-                Ok(silence) => scheduler.load_silence(now, InstanceId::from(worker), silence),
-                Err(err) => unreadable(node, part, &entry.key, &err),
-            }
-            continue;
-        }
-        match rmp_serde::from_slice::<Record>(&value) {
-            Ok(record) => scheduler.load(Id::from(entry.key), record),
-            Err(err) => unreadable(node, part, &entry.key, &err),
-        }
-    }
-    let tail = read_all(node, requests, epoch).await?;
-    let next = tail.next;
-    take_requests(node, part, &mut scheduler, tail);
-    Some((scheduler, next))
-}
-
-fn still_owned(node: &Node, part: PartId, epoch: u64) -> bool {
-    node.owned(part).is_some_and(|it| it.epoch == epoch)
-}
-
-async fn read_all(node: &Node, part: Part, epoch: u64) -> Option<Tail> {
-    loop {
-        match node.log.newest(part, CALL_TIMEOUT).await {
-            Ok(tail) => return Some(tail),
-            Err(err) => watch::failed(node, "newest", &err),
-        }
-        if !still_owned(node, part.number, epoch) {
-            return None;
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
-fn unreadable(node: &Node, part: PartId, key: &str, err: &rmp_serde::decode::Error) {
-    node.decisions
-        .line("record_skipped", json!({ "part": part, "key": key, "error": err.to_string() }));
-}
-
-fn take_requests(node: &Node, part: PartId, scheduler: &mut Scheduler, tail: Tail) {
-    let now = clock::now();
-    for entry in tail.entries {
-        let Some(value) = entry.value else {
-            continue;
-        };
-        let id = Id::from(entry.key.trim_end_matches(CANCEL_SUFFIX));
-        match rmp_serde::from_slice::<Request>(&value) {
-            Ok(request) => scheduler.request(now, id, request),
-            Err(err) => unreadable(node, part, &entry.key, &err),
-        }
-    }
-}
-
-/// Follows callers' requests.
-async fn follow_requests(node: Arc<Node>, part: PartId, mut next: u64, events: mpsc::UnboundedSender<Event>) {
-    let requests = Part {
-        topic: REQUESTS,
-        number: part,
-    };
-    loop {
-        let read = match node.log.read(requests, next, TAIL_WAIT, CALL_TIMEOUT).await {
-            // What expired stands among the newest records unless it was removed.
-            Err(Error::Expired { .. }) => node.log.newest(requests, CALL_TIMEOUT).await,
-            read => read,
-        };
-        match read {
-            Ok(tail) => {
-                next = tail.next;
-                if events.send(Event::Requests(tail)).is_err() {
-                    return;
-                }
-            }
-            Err(err) => {
-                watch::failed(&node, "requests", &err);
-                tokio::time::sleep(PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Passes on that the configuration or the list of workers changed.
 async fn follow_changes(node: Arc<Node>, events: mpsc::UnboundedSender<Event>) {
     let mut catalog = node.catalog_changes.subscribe();
@@ -322,7 +195,7 @@
             Event::Looked(id, Ok(look)) => self.scheduler.looked(now, &id, look),
             Event::Looked(id, Err(answer)) => self.scheduler.look_failed(now, &id, answer),
             Event::Started(id, key, answer) => self.scheduler.started(now, &id, &key, answer),
-            Event::Stopped(id, answer) => self.scheduler.stopped(now, &id, answer),
+            Event::Stopped(id, answer) => self.scheduler.stopped(&id, answer),
             Event::Advised(step, Some(advice)) => self.scheduler.advised(now, step, advice.approved, advice.validity),
             Event::Advised(step, None) => self.scheduler.not_advised(&step),
             Event::Committed(Ok(sequence)) => {
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -17,7 +17,7 @@
 use crate::node::Node;
 use crate::owner::{self, Event};
 use crate::serve::{self, Answer};
-use crate::{duty, watch};
+use crate::{duty, takeover, watch};
 
 /// Time for a call; an owner answers from memory.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -85,7 +85,7 @@
 pub(crate) async fn append(node: &Node, part: PartId, id: &Id, request: &durable::Request, timeout: Duration) -> Reply {
     let key = match request {
         durable::Request::Submit(_) => id.to_string(),
-        durable::Request::Cancel { .. } => owner::cancel_key(id),
+        durable::Request::Cancel { .. } => takeover::cancel_key(id),
     };
     let value = rmp_serde::to_vec(request).expect("requests can be encoded");
     let entry = Entry {
--- /dev/null
+++ b/fleet/src/takeover.rs
@@ -0,0 +1,148 @@
+//! Taking a partition over from the log, and reading callers' requests along.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriole_platform::log::{Error, JOBS, Part, REQUESTS, Tail, Writer};
+use oriolewall::durable::{Id, Record, Request};
+use oriolewall::exchange::PartId;
+use oriolewall::id::InstanceId;
+use oriolewall::scheduler::{Bounds, Scheduler};
+use oriolewall::silence::{SILENCE_PREFIX, Silence};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::node::Node;
+use crate::owner::{CALL_TIMEOUT, Event, PAUSE};
+use crate::{clock, watch};
+
+/// Time after the last proof of ownership during which leases are renewed.
+/// A member's time to live is 2 s; after that there may be a later owner.
+const TERM: Duration = Duration::from_millis(2200);
+/// Lease as a part of the longest that workers grant.
+const LEASE_PART: f64 = 0.6;
+/// Longest lease. With the term it outlasts an outage of the log of 6 s; a
+/// silent worker's tasks start elsewhere when it has ended.
+const LEASE_MAX: Duration = Duration::from_millis(4500);
+/// Time for which a read of requests waits.
+const TAIL_WAIT: Duration = Duration::from_secs(2);
+/// Suffix of the key of a request to cancel.
+const CANCEL_SUFFIX: char = '!';
+
+/// The key of a request to cancel a job.
+pub(crate) fn cancel_key(id: &Id) -> String {
+    format!("{id}{CANCEL_SUFFIX}")
+}
+
+/// Sets the epoch and reads the jobs and requests; `None` if a later owner is there.
+pub(crate) async fn take_over(node: &Node, part: PartId, epoch: u64) -> Option<(Scheduler, u64)> {
+    let jobs = Part { topic: JOBS, number: part };
+    let requests = Part {
+        topic: REQUESTS,
+        number: part,
+    };
+    let writer = Writer { epoch, sequence: 0 };
+    while let Err(err) = node.log.append(jobs, Some(writer), &[], CALL_TIMEOUT).await {
+        // The number of an empty append is not checked against those before it.
+        match err {
+            Error::Sequence { .. } => break,
+            Error::Fenced => return None,
+            err => watch::failed(node, "epoch", &err),
+        }
+        if !still_owned(node, part, epoch) {
+            return None;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    let now = clock::now();
+    let lease_max = node.bounds.load().lease_max;
+    let bounds = Bounds {
+        lease: lease_max.mul_f64(LEASE_PART).min(LEASE_MAX),
+        lease_max,
+        term: TERM,
+    };
+    let mut scheduler = Scheduler::new(bounds, now);
+    for entry in read_all(node, jobs, epoch).await?.entries {
+        let Some(value) = entry.value else {
+            continue;
+        };
+        if let Some(worker) = entry.key.strip_prefix(SILENCE_PREFIX) {
+            match rmp_serde::from_slice::<Silence>(&value) {
+                Ok(silence) => scheduler.load_silence(now, InstanceId::from(worker), silence),
+                Err(err) => unreadable(node, part, &entry.key, &err),
+            }
+            continue;
+        }
+        match rmp_serde::from_slice::<Record>(&value) {
+            Ok(record) => scheduler.load(Id::from(entry.key), record),
+            Err(err) => unreadable(node, part, &entry.key, &err),
+        }
+    }
+    let tail = read_all(node, requests, epoch).await?;
+    let next = tail.next;
+    take_requests(node, part, &mut scheduler, tail);
+    Some((scheduler, next))
+}
+
+pub(crate) fn still_owned(node: &Node, part: PartId, epoch: u64) -> bool {
+    node.owned(part).is_some_and(|it| it.epoch == epoch)
+}
+
+async fn read_all(node: &Node, part: Part, epoch: u64) -> Option<Tail> {
+    loop {
+        match node.log.newest(part, CALL_TIMEOUT).await {
+            Ok(tail) => return Some(tail),
+            Err(err) => watch::failed(node, "newest", &err),
+        }
+        if !still_owned(node, part.number, epoch) {
+            return None;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn unreadable(node: &Node, part: PartId, key: &str, err: &rmp_serde::decode::Error) {
+    node.decisions
+        .line("record_skipped", json!({ "part": part, "key": key, "error": err.to_string() }));
+}
+
+pub(crate) fn take_requests(node: &Node, part: PartId, scheduler: &mut Scheduler, tail: Tail) {
+    let now = clock::now();
+    for entry in tail.entries {
+        let Some(value) = entry.value else {
+            continue;
+        };
+        let id = Id::from(entry.key.trim_end_matches(CANCEL_SUFFIX));
+        match rmp_serde::from_slice::<Request>(&value) {
+            Ok(request) => scheduler.request(now, id, request),
+            Err(err) => unreadable(node, part, &entry.key, &err),
+        }
+    }
+}
+
+/// Follows callers' requests.
+pub(crate) async fn follow_requests(node: Arc<Node>, part: PartId, mut next: u64, events: mpsc::UnboundedSender<Event>) {
+    let requests = Part {
+        topic: REQUESTS,
+        number: part,
+    };
+    loop {
+        let read = match node.log.read(requests, next, TAIL_WAIT, CALL_TIMEOUT).await {
+            // What expired stands among the newest records unless it was removed.
+            Err(Error::Expired { .. }) => node.log.newest(requests, CALL_TIMEOUT).await,
+            read => read,
+        };
+        match read {
+            Ok(tail) => {
+                next = tail.next;
+                if events.send(Event::Requests(tail)).is_err() {
+                    return;
+                }
+            }
+            Err(err) => {
+                watch::failed(&node, "requests", &err);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- a/lib/src/advice.rs
+++ b/lib/src/advice.rs
@@ -7,7 +7,8 @@
 use crate::clock::Now;
 use crate::durable::{Id, Ref};
 use crate::id::InstanceId;
-use crate::scheduler::{Action, Scheduler};
+use crate::order::Action;
+use crate::scheduler::Scheduler;
 
 /// Workers that one call asks about.
 /// The platform takes a while for each; its objective counts one call on 30 workers a step.
--- a/lib/src/eviction.rs
+++ b/lib/src/eviction.rs
@@ -5,8 +5,9 @@
 use crate::clock::Now;
 use crate::durable::Ref;
 use crate::id::InstanceId;
+use crate::note::Note;
 use crate::roster::{RunKey, RunPhase};
-use crate::scheduler::{Note, Scheduler};
+use crate::scheduler::Scheduler;
 
 /// Time for tasks that end by themselves, before they are stopped for an operator's wave.
 /// The longest task of the standard days takes 4.2 s on a sound worker.
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -7,8 +7,8 @@
 use crate::balance::Load;
 use crate::durable::{Id, QueueId, Request};
 use crate::id::{InstanceId, PoolId, TeamId};
+use crate::inquiry::{Demand, Status};
 use crate::need::Need;
-use crate::scheduler::{Demand, Status};
 
 /// Partition of the log that a pool's jobs are in.
 pub type PartId = u32;
--- /dev/null
+++ b/lib/src/inquiry.rs
@@ -0,0 +1,113 @@
+//! What callers, operators and other instances ask of an owner.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::balance::Load;
+use crate::clock::Now;
+use crate::durable::{Id, Phase, QueueId, State};
+use crate::id::{InstanceId, PoolId, TeamId};
+use crate::need::Need;
+use crate::roster::{RunKey, Worker};
+use crate::scheduler::{Scheduler, refs};
+
+/// What a team uses and wants.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// What may be running.
+    pub used: Need,
+    /// What waits.
+    pub wanted: Need,
+}
+
+/// A job's state as callers see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Status {
+    /// No task has been placed.
+    Queued,
+    /// Some task has been placed.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as the queue allows.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+impl Scheduler {
+    /// Number of jobs held.
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Demand on each pool that has workers or jobs here.
+    pub fn pool_loads(&self, now: Now) -> BTreeMap<PoolId, Load> {
+        let mut loads: BTreeMap<PoolId, Load> = BTreeMap::new();
+        for worker in self.workers.values().filter(|it| it.present) {
+            let load = loads.entry(worker.listed.pool.clone()).or_default();
+            load.used += worker.used.cpu;
+            if worker.touched && worker.runs.is_empty() && !worker.listed.draining {
+                load.idle.push(worker.listed.id.clone());
+            }
+        }
+        for id in &self.open {
+            let record = &self.jobs[id].record;
+            let load = loads.entry(record.submission.pool.clone()).or_default();
+            load.waiting += record.waiting_need(now.wall_ms()).cpu;
+            load.breadth = load.breadth.max(record.breadth());
+        }
+        for (pool, arrivals) in &self.arrivals {
+            loads.entry(pool.clone()).or_default().arriving = arrivals.rate(now.mono);
+        }
+        loads
+    }
+
+    /// Processor on each worker that tasks use which end by themselves, thousandths of a core.
+    pub fn loads(&self) -> HashMap<InstanceId, u64> {
+        let ending = |key: &RunKey| {
+            self.jobs
+                .get(&key.task.job)
+                .is_some_and(|it| !it.record.step(key.task.step).lasting)
+        };
+        let load = |it: &Worker| it.runs.iter().filter(|(key, _)| ending(key)).map(|(_, run)| run.reserved.cpu).sum();
+        self.workers.values().map(|it| (it.listed.id.clone(), load(it))).collect()
+    }
+
+    /// A job's state as the log has it; `None` if it is not known here.
+    pub fn status(&self, id: &Id) -> Option<Status> {
+        let tracked = self.jobs.get(id)?;
+        Some(match tracked.durable {
+            Phase::Completed => Status::Completed,
+            Phase::Failed => Status::Failed,
+            Phase::Cancelled => Status::Cancelled,
+            Phase::Open if tracked.record.is_untouched() => Status::Queued,
+            Phase::Open => Status::Running,
+        })
+    }
+
+    /// Jobs of a queue of which no task has been placed.
+    pub fn pending(&self, queue: &QueueId) -> u64 {
+        let jobs = self.open.iter().map(|it| &self.jobs[it].record);
+        jobs.filter(|it| it.submission.queue == *queue && it.is_untouched()).count() as u64
+    }
+
+    /// What each team has running, and what its waiting tasks would take.
+    pub fn demand(&self) -> HashMap<TeamId, Demand> {
+        let mut demand: HashMap<TeamId, Demand> = HashMap::new();
+        for (team, used) in &self.usage {
+            demand.entry(team.clone()).or_default().used = *used;
+        }
+        for id in &self.open {
+            let record = &self.jobs[id].record;
+            let entry = demand.entry(record.submission.team.clone()).or_default();
+            for (task, position) in refs(id, record) {
+                if record.tasks[position].state == State::Waiting {
+                    entry.wanted += record.step(task.step).need;
+                }
+            }
+        }
+        demand
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -31,6 +31,9 @@
 //! - [`catalog`]: operators' configuration as one immutable value.
 //! - [`roster`]: workers as the owner of their pool sees them.
 //! - [`scheduler`]: the owner of a pool.
+//! - [`order`]: what an owner tells workers and the log, and their answers.
+//! - [`note`]: decisions of an owner, for the decision log.
+//! - [`inquiry`]: what others ask of an owner.
 //! - [`quota`]: teams' caps divided among owners.
 //! - [`silence`]: what the log keeps of silent workers.
 //! - [`advice`]: which workers may run a step.
@@ -53,6 +56,7 @@
 pub mod fleet;
 pub mod health;
 pub mod id;
+pub mod inquiry;
 pub mod job;
 pub mod journal;
 pub mod key;
@@ -60,6 +64,9 @@
 pub mod maintain;
 pub mod member;
 pub mod need;
+pub mod note;
+mod observe;
+pub mod order;
 mod owner;
 pub mod pace;
 mod peer;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -7,8 +7,9 @@
 use crate::durable::{Id, Record, Ref, State};
 use crate::id::{InstanceId, RackId};
 use crate::need::Need;
+use crate::note::Note;
 use crate::roster::{Run, RunKey, RunPhase, Worker};
-use crate::scheduler::{Note, Scheduler};
+use crate::scheduler::Scheduler;
 use crate::spec::Step;
 
 /// Most jobs that may find no room before a pass ends.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -5,20 +5,20 @@
 //! owns the pool next finds every run that can exist. Orders carry a token that
 //! rises with each owner, and a time on the worker's clock after which they are void.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use serde::Serialize;
 
 use crate::advice::{StepKey, Tickets};
-use crate::balance::Load;
 use crate::catalog::{Catalog, Queue};
 use crate::clock::Now;
-use crate::durable::{Id, Phase, QueueId, Record, Ref, Request, State};
+use crate::durable::{Id, Phase, Record, Ref, Request, State};
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::need::Need;
+use crate::note::Note;
+use crate::order::{Action, Start};
 use crate::pace::Arrivals;
 use crate::roster::{Listed, Run, RunKey, RunPhase, Worker};
 use crate::silence::SILENCE_PREFIX;
@@ -31,11 +31,11 @@
 /// The same while tasks are throttled there.
 const LOOK_WAIT_THROTTLED: Duration = Duration::from_millis(500);
 /// Least time between two looks at a worker; ends that come within it share a look.
-const LOOK_GAP: Duration = Duration::from_millis(60);
+pub(crate) const LOOK_GAP: Duration = Duration::from_millis(60);
 /// Least time between two looks while the log takes no records.
 const LOOK_GAP_UNRECORDED: Duration = Duration::from_millis(500);
 /// Time to the next try at a worker that did not answer.
-const RETRY: Duration = Duration::from_millis(400);
+pub(crate) const RETRY: Duration = Duration::from_millis(400);
 /// Least time between two commits; what comes in between shares one.
 const COMMIT_GAP: Duration = Duration::from_millis(25);
 /// Time after which an unanswered stop is ordered again.
@@ -45,9 +45,9 @@
 /// Requests that are recorded as jobs are removed from the log together after this.
 const FORGET_GAP: Duration = Duration::from_secs(3);
 /// Ends that a worker lists at once; a full page may hide others.
-const ENDS_PAGE: usize = 500;
+pub(crate) const ENDS_PAGE: usize = 500;
 /// Time to wait after a worker rejected a task for want of room.
-const ROOM_RETRY: Duration = Duration::from_millis(200);
+pub(crate) const ROOM_RETRY: Duration = Duration::from_millis(200);
 
 /// Time limits that hold for one owner.
 #[derive(Clone, Copy, Debug)]
@@ -60,282 +60,18 @@
     pub term: Duration,
 }
 
-/// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum How {
-    /// It did its work.
-    Done,
-    /// It failed.
-    Failed,
-    /// It was stopped.
-    Stopped,
-    /// Its lease ended.
-    Lapsed,
-    /// Another member of its gang ended.
-    Broken,
-    /// It waited in vain for the others of its gang.
-    Alone,
-}
-
-/// An end as a worker lists it.
-#[derive(Clone, Debug)]
-pub struct End {
-    /// Its number on that worker.
-    pub number: u64,
-    /// The run.
-    pub key: RunKey,
-    /// How it ended.
-    pub how: How,
-    /// Progress to resume from; empty for none.
-    pub checkpoint: Arc<str>,
-}
-
-/// A run as a worker lists it.
-#[derive(Clone, Debug)]
-pub struct Active {
-    /// The run.
-    pub key: RunKey,
-    /// Progress saved so far; empty for none.
-    pub checkpoint: Arc<str>,
-    /// Progress; 100 for a lasting task that is at work.
-    pub percent: u32,
-    /// Response time of a lasting task in milliseconds, or the processor that another one uses.
-    pub figure: Option<u64>,
-}
-
-/// What a worker showed of itself.
-#[derive(Clone, Debug, Default)]
-pub struct Look {
-    /// Its clock, milliseconds.
-    pub clock_ms: u64,
-    /// Start of its life, milliseconds since the epoch; zero if it did not say.
-    pub born_ms: u64,
-    /// What runs there.
-    pub active: Vec<Active>,
-    /// What ended there and is not recorded yet.
-    pub ended: Vec<End>,
-}
-
-/// A worker's answer to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// It is done, or was before.
-    Done {
-        /// The worker's clock, milliseconds.
-        clock_ms: u64,
-    },
-    /// It was certainly not done.
-    Refused(Refusal),
-    /// It may have been done, or may still be.
-    Lost,
-}
-
-/// Why a worker did not carry out an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Refusal {
-    /// A later owner has given orders.
-    Fenced,
-    /// A later run is known there.
-    Old,
-    /// The order came after its time.
-    Late,
-    /// No room.
-    Room,
-    /// The advice that it carried does not hold.
-    Ticket,
-    /// The worker is another one, or a new life of it.
-    Instance,
-    /// The worker is unhealthy.
-    Unhealthy,
-    /// The worker cannot read the order.
-    Malformed,
-    /// No connection could be opened.
-    Unreachable,
-}
-
-/// An order to start a run.
-#[derive(Clone, Debug)]
-pub struct Start {
-    /// The worker.
-    pub worker: InstanceId,
-    /// The run.
-    pub key: RunKey,
-    /// Payload of the job.
-    pub payload: Arc<str>,
-    /// Progress to resume from; empty for none.
-    pub checkpoint: Arc<str>,
-    /// The worker's clock after which the order is void, milliseconds.
-    pub until_ms: u64,
-    /// Advice for queues that need it.
-    pub ticket: Option<Arc<str>>,
-}
-
-/// What is to be done outside.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Append records under the owner's epoch, and say when they are in.
-    Commit(Vec<(Arc<str>, Option<Bytes>)>),
-    /// Remove requests that stand in the log as jobs.
-    Forget(Vec<Id>),
-    /// Order a start.
-    Start(Start),
-    /// Order a stop.
-    Stop {
-        /// The worker.
-        worker: InstanceId,
-        /// The run.
-        key: RunKey,
-    },
-    /// Order a run to work at a part of its speed.
-    Pace {
-        /// The worker.
-        worker: InstanceId,
-        /// The run.
-        key: RunKey,
-        /// The speed.
-        percent: u32,
-    },
-    /// Ask which workers may run a step.
-    Advise {
-        /// The step.
-        step: StepKey,
-        /// The workers.
-        workers: Vec<InstanceId>,
-    },
-    /// Look at a worker, renewing leases.
-    Look {
-        /// The worker.
-        worker: InstanceId,
-        /// Ends up to here are recorded.
-        recorded: u64,
-        /// The worker's clock until which leases are renewed, milliseconds; `None` renews nothing.
-        until_ms: Option<u64>,
-        /// Time to wait for an end.
-        wait: Duration,
-    },
-    /// Write a line to the decision log.
-    Note(Note),
-}
-
-/// A decision worth a line in the log.
-#[derive(Clone, Debug, Serialize)]
-#[serde(tag = "decision", rename_all = "snake_case")]
-pub enum Note {
-    /// A job was taken over from a request in the log.
-    Admitted {
-        /// The job.
-        job: Id,
-        /// Its queue.
-        queue: QueueId,
-        /// Its team.
-        team: TeamId,
-        /// Its tasks.
-        tasks: usize,
-    },
-    /// A task was given to a worker.
-    Placed {
-        /// The job.
-        job: Id,
-        /// Task as occurrence, step, number.
-        task: (u32, u16, u32),
-        /// Number of the run.
-        run: u32,
-        /// The worker.
-        worker: InstanceId,
-        /// Free processor there before, thousandths of a core.
-        free_cpu: u64,
-        /// Age of the job, milliseconds.
-        age_ms: u64,
-        /// Version of the configuration.
-        config: u64,
-    },
-    /// A run ended or turned out not to take place.
-    Ended {
-        /// The job.
-        job: Id,
-        /// Task as occurrence, step, number.
-        task: (u32, u16, u32),
-        /// Number of the run.
-        run: u32,
-        /// The worker.
-        worker: InstanceId,
-        /// How it ended.
-        how: &'static str,
-    },
-    /// A job reached its end.
-    Closed {
-        /// The job.
-        job: Id,
-        /// How.
-        phase: &'static str,
-        /// Age, milliseconds.
-        age_ms: u64,
-        /// Time allowed by its queue's objective, milliseconds.
-        objective_ms: u64,
-    },
-    /// An order was refused.
-    Refused {
-        /// The job.
-        job: Id,
-        /// Number of the run.
-        run: u32,
-        /// The worker.
-        worker: InstanceId,
-        /// Why.
-        reason: Refusal,
-    },
-    /// A task is stopped so that its worker can leave, move or go down.
-    Interrupted {
-        /// The job.
-        job: Id,
-        /// Task as occurrence, step, number.
-        task: (u32, u16, u32),
-        /// Number of the run.
-        run: u32,
-        /// The worker.
-        worker: InstanceId,
-    },
-    /// A worker stopped answering, or answers again.
-    Contact {
-        /// The worker.
-        worker: InstanceId,
-        /// Whether it answers.
-        answers: bool,
-        /// Runs that may take place there.
-        runs: usize,
-    },
-    /// A worker that does not answer is recorded, with what may run there.
-    Silent {
-        /// The worker.
-        worker: InstanceId,
-        /// Runs that may take place there.
-        runs: usize,
-        /// Time until they have surely ended, milliseconds.
-        left_ms: u64,
-    },
-    /// A worker is avoided because of what it fails.
-    Suspect {
-        /// The worker.
-        worker: InstanceId,
-        /// What it did.
-        why: &'static str,
-    },
-}
-
 /// A job and what is only needed while it is owned.
 #[derive(Debug)]
 pub(crate) struct Tracked {
     pub(crate) record: Record,
     /// Phase that is in the log.
-    durable: Phase,
+    pub(crate) durable: Phase,
     /// Whether the log has a record of the job.
-    stored: bool,
+    pub(crate) stored: bool,
 }
 
 #[derive(Debug, Default)]
-struct Batch {
+pub(crate) struct Batch {
     jobs: Vec<(Id, Phase)>,
     intents: Vec<(InstanceId, RunKey)>,
     recorded: Vec<(InstanceId, u64, u64)>,
@@ -345,27 +81,27 @@
 /// The owner of pools that share a partition of the log.
 #[derive(Debug)]
 pub struct Scheduler {
-    bounds: Bounds,
-    acquired: Duration,
-    proven: Duration,
+    pub(crate) bounds: Bounds,
+    pub(crate) acquired: Duration,
+    pub(crate) proven: Duration,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) jobs: HashMap<Id, Tracked>,
     pub(crate) open: BTreeSet<Id>,
     pub(crate) workers: HashMap<InstanceId, Worker>,
     pub(crate) usage: HashMap<TeamId, Need>,
-    grants: HashMap<TeamId, Need>,
-    cancels: HashSet<Id>,
-    dirty: BTreeSet<Id>,
-    removed: Vec<Id>,
+    pub(crate) grants: HashMap<TeamId, Need>,
+    pub(crate) cancels: HashSet<Id>,
+    pub(crate) dirty: BTreeSet<Id>,
+    pub(crate) removed: Vec<Id>,
     pub(crate) intents: Vec<(InstanceId, RunKey)>,
-    in_flight: Option<Batch>,
-    last_commit: Duration,
-    forget: Vec<Id>,
-    last_forget: Duration,
-    arrivals: HashMap<PoolId, Arrivals>,
+    pub(crate) in_flight: Option<Batch>,
+    pub(crate) last_commit: Duration,
+    pub(crate) forget: Vec<Id>,
+    pub(crate) last_forget: Duration,
+    pub(crate) arrivals: HashMap<PoolId, Arrivals>,
     pub(crate) advice: HashMap<StepKey, Tickets>,
     pub(crate) silences: HashMap<InstanceId, Duration>,
-    fenced: bool,
+    pub(crate) fenced: bool,
     pub(crate) room_retry: Duration,
     pub(crate) actions: Vec<Action>,
 }
@@ -493,7 +229,7 @@
             if was_known && worker.listed.born_ms < line.born_ms {
                 let lost = worker.reborn(line.born_ms, now.mono + self.bounds.lease_max.mul_f64(1.03));
                 worker.listed = line.clone();
-                self.lose(now, &line.id, lost, "reborn");
+                self.lose(&line.id, lost, "reborn");
             } else if !was_known || worker.listed.born_ms == line.born_ms {
                 worker.listed = line;
             }
@@ -580,142 +316,8 @@
         }
     }
 
-    /// Takes in what a worker showed.
-    pub fn looked(&mut self, now: Now, id: &InstanceId, look: Look) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.looking = false;
-        if worker.listed.born_ms == 0 {
-            worker.listed.born_ms = look.born_ms;
-        }
-        if worker.listed.born_ms < look.born_ms {
-            let lost = worker.reborn(look.born_ms, now.mono + self.bounds.lease_max.mul_f64(1.03));
-            self.lose(now, id, lost, "reborn");
-        } else if look.born_ms != 0 && look.born_ms < worker.listed.born_ms {
-            // An answer of an earlier life.
-            return;
-        }
-        self.answered(now, id);
-        let worker = self.workers.get_mut(id).expect("looked up above");
-        worker.touched = true;
-        worker.read_clock(look.clock_ms, now.mono);
-        let whole = look.ended.len() < ENDS_PAGE;
-        for end in look.ended {
-            let worker = self.workers.get_mut(id).expect("looked up above");
-            if end.number <= worker.seen {
-                continue;
-            }
-            worker.seen = end.number;
-            self.ended(now, id, end);
-        }
-        let mut listed = HashSet::new();
-        for active in &look.active {
-            listed.insert(active.key.clone());
-            self.active(now, id, look.clock_ms, active);
-        }
-        self.throttle(now, id, &look.active);
-        if whole {
-            self.settle(now, id, look.clock_ms, &listed);
-        }
-        self.stop_stalled(now, id);
-        let worker = self.workers.get_mut(id).expect("looked up above");
-        worker.next_look = now.mono + LOOK_GAP;
-    }
-
-    /// Notes that a look brought no answer.
-    pub fn look_failed(&mut self, now: Now, id: &InstanceId, answer: Answer) {
-        if answer == Answer::Refused(Refusal::Fenced) {
-            self.fenced = true;
-        }
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.looking = false;
-        worker.next_look = now.mono + RETRY;
-        if answer == Answer::Refused(Refusal::Instance) {
-            // The list will show the new life.
-            worker.touched = false;
-        }
-        self.missed(id);
-    }
-
-    fn missed(&mut self, id: &InstanceId) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.misses += 1;
-        if worker.misses == 1 {
-            let runs = worker.runs.len();
-            self.note(Note::Contact {
-                worker: id.clone(),
-                answers: false,
-                runs,
-            });
-        }
-    }
-
-    fn answered(&mut self, _now: Now, id: &InstanceId) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        if worker.misses != 0 {
-            worker.misses = 0;
-            let runs = worker.runs.len();
-            self.note(Note::Contact {
-                worker: id.clone(),
-                answers: true,
-                runs,
-            });
-        }
-    }
-
-    /// Takes in a run that a worker lists.
-    fn active(&mut self, now: Now, id: &InstanceId, clock_ms: u64, active: &Active) {
-        let wanted = self.is_wanted(id, &active.key);
-        let worker = self.workers.get_mut(id).expect("the caller looked it up");
-        if let Some(run) = worker.runs.get_mut(&active.key) {
-            run.seen_ms = run.seen_ms.max(clock_ms);
-            if run.percent != active.percent || run.phase != RunPhase::Active {
-                run.percent = active.percent;
-                run.progressed = now.mono;
-            }
-            if run.phase != RunPhase::Stopping {
-                run.phase = if wanted { RunPhase::Active } else { RunPhase::Stopping };
-            }
-        } else {
-            // Started by an earlier owner, or late; it takes room until it is stopped.
-            let capacity = worker.listed.capacity;
-            let (team, reserved, need) = self.describe(&active.key, capacity);
-            let run = Run {
-                phase: RunPhase::Stopping,
-                team: team.clone(),
-                reserved,
-                need,
-                seen_ms: clock_ms,
-                until_ms: 0,
-                percent: active.percent,
-                progressed: now.mono,
-                pace: 100,
-                stop_sent: None,
-            };
-            *self.usage.entry(team).or_default() += need;
-            self.workers
-                .get_mut(id)
-                .expect("the caller looked it up")
-                .add(active.key.clone(), run);
-        }
-        if wanted
-            && !active.checkpoint.is_empty()
-            && let Some(tracked) = self.jobs.get_mut(&active.key.task.job)
-            && let Some(position) = tracked.record.position(&active.key.task)
-        {
-            tracked.record.tasks[position].checkpoint = active.checkpoint.clone();
-        }
-    }
-
     /// Whether a run is the one that the task's record names, on this worker.
-    fn is_wanted(&self, id: &InstanceId, key: &RunKey) -> bool {
+    pub(crate) fn is_wanted(&self, id: &InstanceId, key: &RunKey) -> bool {
         let Some(tracked) = self.jobs.get(&key.task.job) else {
             return false;
         };
@@ -726,7 +328,7 @@
         tracked.record.phase == Phase::Open && task.run == key.run && task.state == State::Placed(id.clone())
     }
 
-    fn describe(&self, key: &RunKey, capacity: Need) -> (TeamId, Need, Need) {
+    pub(crate) fn describe(&self, key: &RunKey, capacity: Need) -> (TeamId, Need, Need) {
         let Some(tracked) = self.jobs.get(&key.task.job) else {
             // What it takes is not known, so the worker counts as full.
             return (TeamId::from(""), capacity, Need::default());
@@ -738,146 +340,8 @@
         (record.submission.team.clone(), step.reserved(), step.need)
     }
 
-    /// Settles runs that a worker does not list.
-    fn settle(&mut self, now: Now, id: &InstanceId, clock_ms: u64, listed: &HashSet<RunKey>) {
-        let worker = self.workers.get_mut(id).expect("the caller looked it up");
-        let gone: Vec<RunKey> = worker
-            .runs
-            .iter()
-            .filter(|(key, run)| !listed.contains(key) && run.is_over(clock_ms))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in gone {
-            self.release(id, &key);
-            self.revert(now, id, &key, "not_listed");
-        }
-    }
-
-    /// Stops runs that make no progress, so that they go on elsewhere.
-    fn stop_stalled(&mut self, now: Now, id: &InstanceId) {
-        let worker = self.workers.get_mut(id).expect("the caller looked it up");
-        let jobs = &self.jobs;
-        let mut stalled = 0;
-        for (key, run) in &mut worker.runs {
-            let Some(tracked) = jobs.get(&key.task.job) else {
-                continue;
-            };
-            let step = tracked.record.step(key.task.step);
-            if run.is_stalled(now.mono) && !step.gang && !step.fill && !step.lasting {
-                run.phase = RunPhase::Stopping;
-                stalled += 1;
-            }
-        }
-        if 0 < stalled {
-            worker.distrust(now.mono);
-            self.note(Note::Suspect {
-                worker: id.clone(),
-                why: "tasks make no progress",
-            });
-        }
-    }
-
-    /// Takes in an end.
-    fn ended(&mut self, now: Now, id: &InstanceId, end: End) {
-        self.release(id, &end.key);
-        let how = match end.how {
-            How::Done => "done",
-            How::Failed => "failed",
-            How::Stopped => "stopped",
-            How::Lapsed => "lapsed",
-            How::Broken => "broken",
-            How::Alone => "alone",
-        };
-        self.note_end(id, &end.key, how);
-        if !self.is_wanted(id, &end.key) {
-            return;
-        }
-        let worker = self.workers.get_mut(id).expect("the caller looked it up");
-        let judged = matches!(end.how, How::Done | How::Failed);
-        if judged && worker.judge(end.how == How::Failed, now.mono) {
-            self.note(Note::Suspect {
-                worker: id.clone(),
-                why: "runs fail one after the other",
-            });
-        }
-        let attempts = self.attempts(&end.key.task.job);
-        let job = end.key.task.job.clone();
-        let tracked = self.jobs.get_mut(&job).expect("a wanted run has a job");
-        let record = &mut tracked.record;
-        let position = record.position(&end.key.task).expect("a wanted run has a task");
-        let (lasting, gang) = {
-            let step = record.step(end.key.task.step);
-            (step.lasting, step.gang)
-        };
-        let task = &mut record.tasks[position];
-        if !end.checkpoint.is_empty() {
-            task.checkpoint = end.checkpoint.clone();
-        }
-        let mut failed = false;
-        match end.how {
-            // A lasting task is run again however it ends.
-            How::Done if lasting => task.state = State::Waiting,
-            How::Done => task.state = State::Done,
-            How::Failed => {
-                task.fails += 1;
-                task.state = State::Waiting;
-                failed = !lasting && attempts <= task.fails;
-            }
-            How::Stopped | How::Lapsed | How::Broken | How::Alone => task.state = State::Waiting,
-        }
-        if gang {
-            self.end_gang(&end);
-        }
-        let tracked = self.jobs.get_mut(&job).expect("a wanted run has a job");
-        tracked.record.complete_if_done(now.wall_ms());
-        let completed = tracked.record.phase == Phase::Completed;
-        self.dirty.insert(job.clone());
-        if failed {
-            self.close(now, &job, Phase::Failed);
-        } else if completed {
-            self.closed(now, &job);
-        }
-    }
-
-    /// One member's end stands for its whole gang.
-    fn end_gang(&mut self, end: &End) {
-        let Some(tracked) = self.jobs.get_mut(&end.key.task.job) else {
-            return;
-        };
-        let record = &mut tracked.record;
-        let first = record.first(end.key.task.turn, usize::from(end.key.task.step));
-        let count = record.step(end.key.task.step).count;
-        let mut over = Vec::new();
-        for index in 0..count {
-            let task = &mut record.tasks[first + index as usize];
-            if !end.checkpoint.is_empty() {
-                task.checkpoint = end.checkpoint.clone();
-            }
-            if end.how == How::Failed && index != end.key.task.index {
-                // The gang's run failed, whichever member listed it.
-                task.fails = task.fails.max(1);
-            }
-            if end.how == How::Done && task.run == end.key.run {
-                task.state = State::Done;
-                over.push(RunKey {
-                    task: Ref {
-                        index,
-                        ..end.key.task.clone()
-                    },
-                    run: task.run,
-                });
-            }
-        }
-        let ids: Vec<InstanceId> = self.workers.keys().cloned().collect();
-        for key in over {
-            for id in &ids {
-                self.release(id, &key);
-            }
-        }
-    }
-
     /// Ends a job and stops what runs of it.
-    fn close(&mut self, now: Now, id: &Id, phase: Phase) {
+    pub(crate) fn close(&mut self, now: Now, id: &Id, phase: Phase) {
         let Some(tracked) = self.jobs.get_mut(id) else {
             return;
         };
@@ -897,7 +361,7 @@
         self.closed(now, id);
     }
 
-    fn closed(&mut self, now: Now, id: &Id) {
+    pub(crate) fn closed(&mut self, now: Now, id: &Id) {
         self.open.remove(id);
         self.advice.retain(|(job, _, _), _| job != id);
         let record = &self.jobs[id].record;
@@ -916,7 +380,7 @@
         self.note(note);
     }
 
-    fn attempts(&self, job: &Id) -> u32 {
+    pub(crate) fn attempts(&self, job: &Id) -> u32 {
         let queue = self.jobs.get(job).and_then(|it| self.queue(&it.record));
         queue.map_or(u32::MAX, |it| it.attempts.max(1))
     }
@@ -932,7 +396,7 @@
     }
 
     /// Frees what a run took.
-    fn release(&mut self, id: &InstanceId, key: &RunKey) -> Option<Run> {
+    pub(crate) fn release(&mut self, id: &InstanceId, key: &RunKey) -> Option<Run> {
         let run = self.workers.get_mut(id)?.remove(key)?;
         if let Some(usage) = self.usage.get_mut(&run.team) {
             *usage -= run.need;
@@ -941,7 +405,7 @@
     }
 
     /// Lets a task run again after its run turned out not to take place.
-    fn revert(&mut self, _now: Now, id: &InstanceId, key: &RunKey, how: &'static str) {
+    pub(crate) fn revert(&mut self, id: &InstanceId, key: &RunKey, how: &'static str) {
         self.note_end(id, key, how);
         if !self.is_wanted(id, key) {
             return;
@@ -953,17 +417,17 @@
     }
 
     /// Lets everything run again that was on a worker.
-    fn lose(&mut self, now: Now, id: &InstanceId, keys: Vec<RunKey>, how: &'static str) {
+    pub(crate) fn lose(&mut self, id: &InstanceId, keys: Vec<RunKey>, how: &'static str) {
         for key in keys {
             let (team, _, need) = self.describe(&key, Need::default());
             if let Some(usage) = self.usage.get_mut(&team) {
                 *usage -= need;
             }
-            self.revert(now, id, &key, how);
+            self.revert(id, &key, how);
         }
     }
 
-    fn note_end(&mut self, id: &InstanceId, key: &RunKey, how: &'static str) {
+    pub(crate) fn note_end(&mut self, id: &InstanceId, key: &RunKey, how: &'static str) {
         self.note(Note::Ended {
             job: key.task.job.clone(),
             task: (key.task.turn, key.task.step, key.task.index),
@@ -973,70 +437,6 @@
         });
     }
 
-    /// Takes in the answer to an order to start.
-    pub fn started(&mut self, now: Now, id: &InstanceId, key: &RunKey, answer: Answer) {
-        match answer {
-            Answer::Done { clock_ms } => {
-                self.answered(now, id);
-                // Without the run the worker has a new life since, with another clock.
-                let worker = self.workers.get_mut(id);
-                if let Some(run) = worker.and_then(|it| it.runs.get_mut(key)) {
-                    run.seen_ms = run.seen_ms.max(clock_ms);
-                    run.progressed = now.mono;
-                    if run.phase == RunPhase::Sent {
-                        run.phase = RunPhase::Active;
-                    }
-                }
-            }
-            Answer::Lost => self.missed(id),
-            Answer::Refused(reason) => self.start_refused(now, id, key, reason),
-        }
-    }
-
-    fn start_refused(&mut self, now: Now, id: &InstanceId, key: &RunKey, reason: Refusal) {
-        self.note(Note::Refused {
-            job: key.task.job.clone(),
-            run: key.run,
-            worker: id.clone(),
-            reason,
-        });
-        match reason {
-            Refusal::Fenced => {
-                self.fenced = true;
-                return;
-            }
-            Refusal::Room => self.room_retry = now.mono + ROOM_RETRY,
-            Refusal::Unhealthy => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.distrust(now.mono);
-                }
-            }
-            Refusal::Instance | Refusal::Unreachable => {
-                self.missed(id);
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.next_look = now.mono;
-                }
-            }
-            Refusal::Ticket => self.drop_ticket(&key.task, id),
-            Refusal::Old | Refusal::Late | Refusal::Malformed => {}
-        }
-        let stopping = self.workers.get(id).and_then(|it| it.runs.get(key)).is_some();
-        if stopping {
-            self.release(id, key);
-            self.revert(now, id, key, "not_started");
-        }
-    }
-
-    /// Takes in the answer to an order to stop; the end itself is listed.
-    pub fn stopped(&mut self, now: Now, id: &InstanceId, answer: Answer) {
-        match answer {
-            Answer::Done { .. } => self.answered(now, id),
-            Answer::Refused(Refusal::Fenced) => self.fenced = true,
-            Answer::Refused(_) => {}
-            Answer::Lost => self.missed(id),
-        }
-    }
-
     /// Notes that the records of the last commit are in the log.
     pub fn committed(&mut self, now: Now) {
         let Some(batch) = self.in_flight.take() else {
@@ -1087,7 +487,7 @@
         let ticket = self.ticket(now, &key.task, &id);
         let (true, true, Some(clock_ms), Some(ticket)) = (wanted, open, clock_ms, ticket) else {
             self.release(&id, &key);
-            self.revert(now, &id, &key, "not_sent");
+            self.revert(&id, &key, "not_sent");
             return;
         };
         let until_ms = clock_ms + START_LIMIT.as_millis() as u64;
@@ -1137,7 +537,7 @@
         for id in over {
             let worker = self.workers.get_mut(&id).expect("names come from the map");
             let lost = worker.clear();
-            self.lose(now, &id, lost, "lease_over");
+            self.lose(&id, lost, "lease_over");
         }
     }
 
@@ -1269,42 +669,6 @@
             .clamp(now.mono + Duration::from_millis(5), now.mono + Duration::from_millis(250))
     }
 
-    /// A job's state as the log has it; `None` if it is not known here.
-    pub fn status(&self, id: &Id) -> Option<Status> {
-        let tracked = self.jobs.get(id)?;
-        Some(match tracked.durable {
-            Phase::Completed => Status::Completed,
-            Phase::Failed => Status::Failed,
-            Phase::Cancelled => Status::Cancelled,
-            Phase::Open if tracked.record.is_untouched() => Status::Queued,
-            Phase::Open => Status::Running,
-        })
-    }
-
-    /// Jobs of a queue of which no task has been placed.
-    pub fn pending(&self, queue: &QueueId) -> u64 {
-        let jobs = self.open.iter().map(|it| &self.jobs[it].record);
-        jobs.filter(|it| it.submission.queue == *queue && it.is_untouched()).count() as u64
-    }
-
-    /// What each team has running, and what its waiting tasks would take.
-    pub fn demand(&self) -> HashMap<TeamId, Demand> {
-        let mut demand: HashMap<TeamId, Demand> = HashMap::new();
-        for (team, used) in &self.usage {
-            demand.entry(team.clone()).or_default().used = *used;
-        }
-        for id in &self.open {
-            let record = &self.jobs[id].record;
-            let entry = demand.entry(record.submission.team.clone()).or_default();
-            for (task, position) in refs(id, record) {
-                if record.tasks[position].state == State::Waiting {
-                    entry.wanted += record.step(task.step).need;
-                }
-            }
-        }
-        demand
-    }
-
     /// What a team may have running in these pools.
     pub(crate) fn grant(&self, team: &TeamId) -> Need {
         let cap = match self.catalog.teams.get(team) {
@@ -1320,33 +684,6 @@
         }
     }
 
-    /// Number of jobs held.
-    pub fn job_count(&self) -> usize {
-        self.jobs.len()
-    }
-
-    /// Demand on each pool that has workers or jobs here.
-    pub fn pool_loads(&self, now: Now) -> BTreeMap<PoolId, Load> {
-        let mut loads: BTreeMap<PoolId, Load> = BTreeMap::new();
-        for worker in self.workers.values().filter(|it| it.present) {
-            let load = loads.entry(worker.listed.pool.clone()).or_default();
-            load.used += worker.used.cpu;
-            if worker.touched && worker.runs.is_empty() && !worker.listed.draining {
-                load.idle.push(worker.listed.id.clone());
-            }
-        }
-        for id in &self.open {
-            let record = &self.jobs[id].record;
-            let load = loads.entry(record.submission.pool.clone()).or_default();
-            load.waiting += record.waiting_need(now.wall_ms()).cpu;
-            load.breadth = load.breadth.max(record.breadth());
-        }
-        for (pool, arrivals) in &self.arrivals {
-            loads.entry(pool.clone()).or_default().arriving = arrivals.rate(now.mono);
-        }
-        loads
-    }
-
     /// Notes that a later owner writes to the log.
     pub fn fence(&mut self) {
         self.fenced = true;
@@ -1364,17 +701,6 @@
         worker.touched && worker.runs.is_empty()
     }
 
-    /// Processor on each worker that tasks use which end by themselves, thousandths of a core.
-    pub fn loads(&self) -> HashMap<InstanceId, u64> {
-        let ending = |key: &RunKey| {
-            self.jobs
-                .get(&key.task.job)
-                .is_some_and(|it| !it.record.step(key.task.step).lasting)
-        };
-        let load = |it: &Worker| it.runs.iter().filter(|(key, _)| ending(key)).map(|(_, run)| run.reserved.cpu).sum();
-        self.workers.values().map(|it| (it.listed.id.clone(), load(it))).collect()
-    }
-
     /// Has a job's record written with the next commit.
     pub(crate) fn mark(&mut self, id: &Id) {
         self.dirty.insert(id.clone());
@@ -1385,30 +711,6 @@
     }
 }
 
-/// What a team uses and wants.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, serde::Deserialize)]
-pub struct Demand {
-    /// What may be running.
-    pub used: Need,
-    /// What waits.
-    pub wanted: Need,
-}
-
-/// A job's state as callers see it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
-pub enum Status {
-    /// No task has been placed.
-    Queued,
-    /// Some task has been placed.
-    Running,
-    /// All tasks are done.
-    Completed,
-    /// A task failed as often as the queue allows.
-    Failed,
-    /// The caller cancelled it.
-    Cancelled,
-}
-
 /// All tasks of a job with their positions.
 pub(crate) fn refs<'a>(id: &'a Id, record: &'a Record) -> impl Iterator<Item = (Ref, usize)> + 'a {
     let steps = record.spec().steps.iter().enumerate();
--- a/lib/src/silence.rs
+++ b/lib/src/silence.rs
@@ -8,7 +8,8 @@
 
 use crate::clock::Now;
 use crate::id::InstanceId;
-use crate::scheduler::{Note, Scheduler};
+use crate::note::Note;
+use crate::scheduler::Scheduler;
 
 /// Prefix of the keys of these records among those of jobs.
 pub const SILENCE_PREFIX: &str = "w/";
--- a/lib/tests/test_pool_world.rs
+++ b/lib/tests/test_pool_world.rs
@@ -11,9 +11,11 @@
 use oriolewall::clock::Now;
 use oriolewall::durable::{Id, Ref, Request, Submission};
 use oriolewall::id::InstanceId;
+use oriolewall::inquiry::Status;
 use oriolewall::need::Need;
+use oriolewall::order::{Action, Active, Answer, End, How, Look, Refusal, Start};
 use oriolewall::roster::{Listed, RunKey};
-use oriolewall::scheduler::{Action, Active, Answer, Bounds, End, How, Look, Refusal, Scheduler, Start, Status};
+use oriolewall::scheduler::{Bounds, Scheduler};
 use oriolewall::silence::SILENCE_PREFIX;
 use oriolewall::spec::{Job, Step};
 use rand::rngs::StdRng;
@@ -32,6 +34,9 @@
 const END_MS: u64 = 60_000;
 const TICK_MS: u64 = 10;
 
+/// Records of a commit; without a value the key is dropped.
+type Records = Vec<(Id, Option<Bytes>)>;
+
 /// A worker as the platform promises it.
 struct Runner {
     born_ms: u64,
@@ -75,7 +80,7 @@
     log: BTreeMap<Id, Bytes>,
     requests: Vec<(Id, Request)>,
     /// Commits of the present owner that are on their way, with the time of their arrival.
-    commit: Option<(u64, Vec<(Id, Option<Bytes>)>)>,
+    commit: Option<(u64, Records)>,
     /// Time of arrival, life of the worker that is meant, message.
     messages: Vec<(u64, u64, Message)>,
     done: BTreeSet<Ref>,
@@ -413,7 +418,7 @@
                     runner.ended.push((runner.numbers, key, How::Stopped, false));
                 }
                 if current {
-                    self.owner.stopped(self.now(), &id, Answer::Done { clock_ms });
+                    self.owner.stopped(&id, Answer::Done { clock_ms });
                 }
             }
             Message::Look(_, recorded, until_ms, _) => {
--- a/lib/tests/test_quota.rs
+++ b/lib/tests/test_quota.rs
@@ -7,9 +7,9 @@
 use oriolewall::catalog::{Catalog, Team};
 use oriolewall::exchange::{PartId, Report};
 use oriolewall::id::TeamId;
+use oriolewall::inquiry::Demand;
 use oriolewall::need::Need;
 use oriolewall::quota::Ledger;
-use oriolewall::scheduler::Demand;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -10,9 +10,11 @@
 use oriolewall::clock::Now;
 use oriolewall::durable::{Id, Record, Ref, Request, State, Submission};
 use oriolewall::id::InstanceId;
+use oriolewall::inquiry::Status;
 use oriolewall::need::Need;
+use oriolewall::order::{Action, Active, Answer, End, How, Look, Refusal, Start};
 use oriolewall::roster::{Listed, RunKey};
-use oriolewall::scheduler::{Action, Active, Answer, Bounds, End, How, Look, Refusal, Scheduler, Start, Status};
+use oriolewall::scheduler::{Bounds, Scheduler};
 use oriolewall::silence::SILENCE_PREFIX;
 use oriolewall::spec::{Job, Step};
 
