--- a/lib/src/advice.rs
+++ b/lib/src/advice.rs
@@ -30,15 +30,16 @@
 }
 
 impl Scheduler {
+    /// Whether the policy of a task's queue asks for advice.
+    fn needs_advice(&self, task: &Ref) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.and_then(|it| self.queue(&it.record)).is_some_and(|it| it.advice)
+    }
+
     /// The ticket that a start on a worker has to carry.
     /// The outer `None` means that the worker may not run the task.
     pub(crate) fn ticket(&self, now: Now, task: &Ref, worker: &InstanceId) -> Option<Option<Arc<str>>> {
-        let advised = self
-            .jobs
-            .get(&task.job)
-            .and_then(|it| self.queue(&it.record))
-            .is_some_and(|it| it.advice);
-        if !advised {
+        if !self.needs_advice(task) {
             return Some(None);
         }
         let known = self.advice.get(&(task.job.clone(), task.turn, task.step))?;
@@ -50,12 +51,7 @@
 
     /// Asks about a step unless its tickets hold or a call is under way.
     pub(crate) fn ask_advice(&mut self, now: Now, task: &Ref) {
-        let advised = self
-            .jobs
-            .get(&task.job)
-            .and_then(|it| self.queue(&it.record))
-            .is_some_and(|it| it.advice);
-        if !advised {
+        if !self.needs_advice(task) {
             return;
         }
         let key = (task.job.clone(), task.turn, task.step);
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -21,7 +21,6 @@
 #[derive(Debug)]
 struct Holder {
     epoch: u64,
-    at: Duration,
     /// Use, use and demand together, and what may be used, by team.
     teams: HashMap<TeamId, Entry>,
 }
@@ -51,7 +50,6 @@
     /// Takes a report in and returns what the owner may have running from now on.
     /// `parts` are the partitions that have pools.
     pub fn report(&mut self, now: Duration, catalog: &Catalog, parts: &[PartId], report: Report) -> HashMap<TeamId, Need> {
-        let known = self.holders.get(&report.part).is_some_and(|it| it.epoch == report.epoch);
         let mut teams = HashMap::new();
         for (team, demand) in &report.teams {
             let mut wanted = demand.used;
@@ -72,10 +70,9 @@
         }
         let holder = Holder {
             epoch: report.epoch,
-            at: now,
             teams,
         };
-        if known || self.holders.get(&report.part).is_none_or(|it| it.epoch <= report.epoch) {
+        if self.holders.get(&report.part).is_none_or(|it| it.epoch <= report.epoch) {
             self.holders.insert(report.part, holder);
         }
         let settled = self.since + SETTLE < now || parts.iter().all(|it| self.holders.contains_key(it));
@@ -90,7 +87,6 @@
         }
         let holder = self.holders.entry(report.part).or_insert_with(|| Holder {
             epoch: report.epoch,
-            at: now,
             teams: HashMap::new(),
         });
         for (team, grant) in &grants {
@@ -130,11 +126,4 @@
             gpu: one(cap.gpu, others.gpu, demands.gpu, own.gpu),
         }
     }
-
-    /// Partitions whose owners have not reported for a while, with their silence.
-    pub fn silent(&self, now: Duration) -> Vec<(PartId, Duration)> {
-        let age = |it: &Holder| now.saturating_sub(it.at);
-        let silent = self.holders.iter().filter(|(_, it)| GRANT_TERM < age(it));
-        silent.map(|(part, it)| (*part, age(it))).collect()
-    }
 }
--- a/lib/src/throttle.rs
+++ b/lib/src/throttle.rs
@@ -52,9 +52,9 @@
         }
         let mut changed: Vec<RunKey> = Vec::new();
         for (key, run) in &mut worker.runs {
-            let fills = self.jobs.get(&key.task.job).is_some_and(|it| it.record.step(key.task.step).fill);
-            let lasting = self.jobs.get(&key.task.job).is_some_and(|it| it.record.step(key.task.step).lasting);
-            if fills && !lasting && run.phase == RunPhase::Active && run.pace != pace {
+            let step = self.jobs.get(&key.task.job).map(|it| it.record.step(key.task.step));
+            let fills = step.is_some_and(|it| it.fill && !it.lasting);
+            if fills && run.phase == RunPhase::Active && run.pace != pace {
                 run.pace = pace;
                 changed.push(key.clone());
             }
