silence: workers that only records name are recorded as silent too

Until when leases last was recorded of workers that do not answer a look; nobody looks at one whose address is not listed. Ruled out: a run left as intended, a look without an end, the late order of a cancel.

Change: a worker of which only records are left counts as silent.

--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -231,6 +231,13 @@
         self.ended_by < now
     }
 
+    /// Whether something may run here while no lease is renewed: the worker does
+    /// not answer, or only records name it and nobody knows its address.
+    pub fn is_silent(&self, now: Duration) -> bool {
+        let unheard = self.misses != 0 || self.listed.addr.port() == 0;
+        unheard && !self.runs.is_empty() && !self.has_lapsed(now)
+    }
+
     /// Time until all that was started here has surely ended.
     pub fn time_left(&self, now: Duration) -> Duration {
         self.ended_by.saturating_sub(now)
--- a/lib/src/silence.rs
+++ b/lib/src/silence.rs
@@ -36,7 +36,7 @@
         let mut notes = Vec::new();
         for worker in self.workers.values_mut() {
             let runs = worker.runs.len();
-            let silent = worker.misses != 0 && runs != 0 && !worker.has_lapsed(now.mono);
+            let silent = worker.is_silent(now.mono);
             let due = worker.silence_written.is_none_or(|it| it + REFRESH <= now.mono);
             if silent && due {
                 let left_ms = worker.time_left(now.mono).as_millis() as u64 + 1;
@@ -64,7 +64,7 @@
     /// Whether a commit is owed to silent workers.
     pub(crate) fn owes_silences(&self, now: Now) -> bool {
         self.workers.values().any(|it| {
-            let silent = it.misses != 0 && !it.runs.is_empty() && !it.has_lapsed(now.mono);
+            let silent = it.is_silent(now.mono);
             let due = it.silence_written.is_none_or(|at| at + REFRESH <= now.mono);
             silent && due || !silent && it.silence_written.is_some() && !it.silence_removal
         })
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -166,6 +166,35 @@
     assert!((4..=9).contains(&started_after), "{started_after} s");
 }
 
+#[test]
+fn owners_that_follow_each_other_do_not_wait_anew_for_a_worker_that_is_gone() {
+    // Bench: apmas-cellyard hunt-0351-15, LOST: the worker crashed for good, so no
+    // owner after that could call it, and none recorded until when its leases last.
+    let mut fixture = Fixture::new(vec![worker("w1")]);
+    fixture.pass(50);
+    fixture.look("w1", 500, vec![], vec![]);
+    let mut lasting = step(1, 1000);
+    lasting.lasting = true;
+    fixture.request("job", submit("", vec![lasting]));
+    fixture.pass(100);
+    fixture.started(0, 650);
+    fixture.workers = vec![worker("w2")];
+    let mut second = 0;
+    while second < 20 {
+        fixture.succeed();
+        fixture.list();
+        fixture.pass(20);
+        fixture.look("w2", 2000 + 1000 * second, vec![], vec![]);
+        fixture.pass(1000);
+        if !fixture.starts.is_empty() {
+            break;
+        }
+        second += 1;
+    }
+    // The owner before may have renewed for 3 s + 5.15 s + 1 s.
+    assert!((8..=10).contains(&second), "{second} s");
+}
+
 #[test]
 fn a_lease_is_not_renewed_while_the_log_says_that_its_worker_is_silent() {
     let mut fixture = Fixture::new(vec![worker("w1")]);
