eviction: a new owner waits for stops of the earlier one to end

A stop takes up to 0.9 s there; the new owner's first look showed the task that was being stopped as at work, and it stopped another of its step.

Change: a run counts as at work when it was seen so at least the longest time of a stop after its worker was first heard by this owner; after that no earlier stop can act ([bounds] stop_ms, a new setting).

The new test fails without the condition.

--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -51,6 +51,12 @@
         Kind::Number(1_000, 600_000),
         "longest lease that workers grant, milliseconds",
     ),
+    spec(
+        "bounds",
+        "stop_ms",
+        Kind::Number(1, 60_000),
+        "longest time that a worker takes to stop a task, milliseconds",
+    ),
     spec(
         "bounds",
         "grace_ms",
@@ -83,6 +89,8 @@
 pub struct Bounds {
     /// Longest lease that workers grant.
     pub lease_max: Duration,
+    /// Longest time that a worker takes to stop a task.
+    pub stop: Duration,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
     /// Time between orders of two holders of fleet duties.
@@ -148,6 +156,7 @@
             advice: file.text("platform", "advice").parse().ok(),
             bounds: Bounds {
                 lease_max: file.millis("bounds", "lease_max_ms"),
+                stop: file.millis("bounds", "stop_ms"),
                 grace: file.millis("bounds", "grace_ms"),
                 duty_lease: file.millis("bounds", "duty_lease_ms"),
             },
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -60,6 +60,7 @@
         lease: lease_max.mul_f64(LEASE_PART).min(LEASE_MAX),
         lease_max,
         term: TERM,
+        stop: node.bounds.load().stop,
     };
     let mut scheduler = Scheduler::new(bounds, now);
     for entry in read_all(node, jobs, epoch).await?.entries {
--- a/lib/src/eviction.rs
+++ b/lib/src/eviction.rs
@@ -6,7 +6,7 @@
 use crate::durable::Ref;
 use crate::id::InstanceId;
 use crate::note::Note;
-use crate::roster::{RunKey, RunPhase};
+use crate::roster::{RunKey, RunPhase, Worker};
 use crate::scheduler::Scheduler;
 
 /// Time for tasks that end by themselves, before they are stopped for an operator's wave.
@@ -17,7 +17,7 @@
     /// Stops lasting tasks on workers that are to be empty, as far as their
     /// steps can spare them, and whatever else has not ended in time.
     pub(crate) fn evict(&mut self, now: Now) {
-        let leaving = |it: &&crate::roster::Worker| now.mono < it.vacate_until || it.listed.draining;
+        let leaving = |it: &&Worker| now.mono < it.vacate_until || it.listed.draining;
         let leaving: Vec<InstanceId> = self.workers.values().filter(leaving).map(|it| it.listed.id.clone()).collect();
         for id in leaving {
             let worker = &self.workers[&id];
@@ -39,12 +39,15 @@
     /// Whether a task of a lasting step may be interrupted: enough others are at work.
     fn may_interrupt(&self, task: &Ref) -> bool {
         let step = self.jobs[&task.job].record.step(task.step);
-        let at_work = |key: &RunKey, run: &crate::roster::Run| {
+        let is_other = |key: &RunKey| {
             let same = key.task.job == task.job && key.task.turn == task.turn && key.task.step == task.step;
-            same && key.task.index != task.index && run.phase == RunPhase::Active && 100 <= run.percent
+            same && key.task.index != task.index
         };
-        let runs = self.workers.values().filter(|it| it.misses == 0).flat_map(|it| it.runs.iter());
-        let others = runs.filter(|(key, run)| at_work(key, run)).count() as u32;
+        let at_work = |it: &Worker| {
+            let others = it.runs.iter().filter(|(key, _)| is_other(key));
+            others.filter(|(_, run)| it.is_at_work(run, self.bounds.stop)).count() as u32
+        };
+        let others: u32 = self.workers.values().map(at_work).sum();
         let away = (step.count - 1).saturating_sub(others);
         away < step.optional.max(1)
     }
--- a/lib/src/observe.rs
+++ b/lib/src/observe.rs
@@ -29,7 +29,10 @@
         }
         self.answered(id);
         let worker = self.workers.get_mut(id).expect("looked up above");
-        worker.touched = true;
+        if !worker.touched {
+            worker.touched = true;
+            worker.touched_ms = look.clock_ms;
+        }
         worker.read_clock(look.clock_ms, now.mono);
         let whole = look.ended.len() < ENDS_PAGE;
         for end in look.ended {
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -109,6 +109,8 @@
     pub present: bool,
     /// Whether it has shown what runs there since this owner took over.
     pub touched: bool,
+    /// The worker's clock when it did so first, milliseconds.
+    pub touched_ms: u64,
     /// Runs that may take place.
     pub runs: HashMap<RunKey, Run>,
     /// What the runs take.
@@ -148,6 +150,7 @@
             listed,
             present: true,
             touched: false,
+            touched_ms: 0,
             runs: HashMap::new(),
             used: Need::default(),
             seen: 0,
@@ -253,6 +256,13 @@
             && self.vacate_until <= now
     }
 
+    /// Whether a run is at work there, whatever an earlier owner ordered: its
+    /// stops are refused since this owner was heard, but one may have been under way.
+    pub fn is_at_work(&self, run: &Run, stop: Duration) -> bool {
+        let settled_ms = self.touched_ms + stop.as_millis() as u64;
+        self.misses == 0 && run.phase == RunPhase::Active && 100 <= run.percent && settled_ms <= run.seen_ms
+    }
+
     /// Whether it has been failing what it runs.
     pub fn is_suspect(&self, now: Duration) -> bool {
         now < self.avoid_until
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -58,6 +58,8 @@
     pub lease_max: Duration,
     /// Time after the last proof of ownership during which leases are renewed.
     pub term: Duration,
+    /// Longest time that a worker takes to stop a task.
+    pub stop: Duration,
 }
 
 /// A job and what is only needed while it is owned.
--- a/lib/tests/test_pool_world.rs
+++ b/lib/tests/test_pool_world.rs
@@ -561,6 +561,7 @@
         lease: Duration::from_millis(3000),
         lease_max: Duration::from_millis(10_000),
         term: Duration::from_millis(2000),
+        stop: Duration::from_millis(200),
     }
 }
 
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use oriolewall::catalog::Team;
 use oriolewall::durable::Request;
@@ -9,7 +10,7 @@
 use oriolewall::need::Need;
 use oriolewall::order::{Answer, Look, Refusal};
 use oriolewall::roster::RunKey;
-use testutils::owner::{Fixture, LEASE, step, submit, worker};
+use testutils::owner::{Fixture, LEASE, STOP, step, submit, worker};
 
 #[test]
 fn a_silent_workers_lease_is_not_renewed() {
@@ -166,6 +167,44 @@
     assert!((4..=9).contains(&started_after), "{started_after} s");
 }
 
+#[test]
+fn a_new_owner_interrupts_nothing_while_a_stop_of_the_earlier_one_may_be_under_way() {
+    // Bench: cic-oriolewall grown scale-2, AVAIL: the new owner saw a task at work
+    // that was being stopped, and stopped another one of its step.
+    let mut fixture = Fixture::new(vec![worker("w1"), worker("w2"), worker("w3")]);
+    fixture.pass(50);
+    for id in ["w1", "w2", "w3"] {
+        fixture.look(id, 500, vec![], vec![]);
+    }
+    let mut lasting = step(2, 8000);
+    lasting.lasting = true;
+    lasting.optional = 1;
+    fixture.request("job", submit("", vec![lasting]));
+    fixture.pass(100);
+    let placed: Vec<(InstanceId, RunKey)> = fixture.starts.iter().map(|it| (it.worker.clone(), it.key.clone())).collect();
+    fixture.succeed();
+    fixture.list();
+    fixture.pass(20);
+    let spare = ["w1", "w2", "w3"]
+        .into_iter()
+        .find(|id| placed.iter().all(|(it, _)| **it != **id))
+        .unwrap();
+    fixture.look(spare, 900, vec![], vec![]);
+    for (id, key) in &placed {
+        fixture.look(id, 900, vec![key.clone()], vec![]);
+    }
+    fixture
+        .owner
+        .vacate(fixture.now, &placed[0].0, fixture.now.mono + Duration::from_secs(4));
+    fixture.pass(100);
+    assert!(fixture.stops.is_empty(), "the other one may be about to stop");
+    for (id, key) in &placed {
+        fixture.look(id, 900 + STOP.as_millis() as u64, vec![key.clone()], vec![]);
+    }
+    fixture.pass(100);
+    assert_eq!(fixture.stops, vec![placed[0].1.clone()]);
+}
+
 #[test]
 fn owners_that_follow_each_other_do_not_wait_anew_for_a_worker_that_is_gone() {
     // Bench: apmas-cellyard hunt-0351-15, LOST: the worker crashed for good, so no
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -21,6 +21,8 @@
 pub const LEASE: Duration = Duration::from_secs(5);
 /// Time after a proof of ownership during which leases are renewed.
 pub const TERM: Duration = Duration::from_secs(3);
+/// Longest time that a worker takes to stop a task.
+pub const STOP: Duration = Duration::from_millis(900);
 
 /// An owner of a pool whose workers, log and clock a test plays.
 #[derive(Debug)]
@@ -150,6 +152,7 @@
             lease: LEASE,
             lease_max: 2 * LEASE,
             term: TERM,
+            stop: STOP,
         };
         let mut fixture = Fixture {
             now: at(0),
@@ -176,6 +179,7 @@
             lease: LEASE,
             lease_max: 2 * LEASE,
             term: TERM,
+            stop: STOP,
         };
         self.owner = Scheduler::new(bounds, self.now);
         for (id, value) in &self.stored {
