duty: orders side by side; those not given are withdrawn

An instance whose worker turned out busy, or whose order was never sent, counted as on its way for 2.5 s and its worker took no work for 4 s.

Change: checks and orders of a wave run side by side; an order that is not given, or certainly not carried out, is withdrawn; a move leaves a busy worker in service.

--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -194,13 +194,13 @@
     }
 }
 
-/// Has a worker emptied; returns whether nothing runs there.
-pub(crate) async fn is_vacant(node: &Arc<Node>, pool: &PoolId, worker: Option<InstanceId>) -> bool {
+/// Has a worker kept empty; returns whether nothing runs there.
+pub(crate) async fn is_vacant(node: &Arc<Node>, pool: &PoolId, worker: Option<InstanceId>, wait: bool) -> bool {
     let Some(worker) = worker else {
         return true;
     };
     let part = node.part_of(pool);
-    peer::call(node, part, Call::Vacate { part, worker }).await == Reply::Vacant(true)
+    peer::call(node, part, Call::Vacate { part, worker, wait }).await == Reply::Vacant(true)
 }
 
 /// Moves instances to where they are needed.
@@ -260,16 +260,16 @@
     for order in moves {
         planner.ordered(now, &order);
         let node = node.clone();
-        checks.spawn(async move { (is_vacant(&node, &order.from, order.worker.clone()).await, order) });
+        checks.spawn(async move { (is_vacant(&node, &order.from, order.worker.clone(), false).await, order) });
     }
     let checked = checks.join_all().await;
-    let vacant: Vec<Move> = checked.into_iter().filter(|(vacant, _)| *vacant).map(|(_, order)| order).collect();
+    let (vacant, busy): (Vec<_>, Vec<_>) = checked.into_iter().partition(|(vacant, _)| *vacant);
+    busy.iter().for_each(|(_, order)| planner.withdrawn(order));
+    let vacant: Vec<Move> = vacant.into_iter().map(|(_, order)| order).collect();
     let names: Vec<Arc<str>> = vacant.iter().map(|it| it.name.clone()).collect();
-    if names.is_empty() || !holder.announce(node, &names).await {
-        return;
-    }
-    // Slow answers: workers may be kept empty no longer. The next round asks again.
-    if now + ORDER_WITHIN < clock::now().mono {
+    // After slow answers workers may be kept empty no longer. The next round asks again.
+    if names.is_empty() || !holder.announce(node, &names).await || now + ORDER_WITHIN < clock::now().mono {
+        vacant.iter().for_each(|order| planner.withdrawn(order));
         return;
     }
     let mut orders = JoinSet::new();
@@ -277,8 +277,11 @@
         orders.spawn(carry_out(node.clone(), machines.clone(), order, holder.token));
     }
     for (order, answer) in orders.join_all().await {
-        if answer == Answer::Unknown {
-            planner.refused(now, &order);
+        match answer {
+            Answer::Unknown => planner.refused(now, &order),
+            Answer::Unavailable => planner.withdrawn(&order),
+            // Where it is now the next list shows.
+            Answer::Done | Answer::Busy | Answer::Fenced | Answer::Wave | Answer::Lost => {}
         }
     }
 }
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -74,8 +74,8 @@
     Pending(QueueId, oneshot::Sender<Reply>),
     /// Somebody asks how busy the workers are.
     Loads(oneshot::Sender<Reply>),
-    /// A worker is to be emptied.
-    Vacate(InstanceId, oneshot::Sender<Reply>),
+    /// A worker is to be emptied; whether somebody waits for what runs there.
+    Vacate(InstanceId, bool, oneshot::Sender<Reply>),
 }
 
 struct Owner {
@@ -223,8 +223,8 @@
             Event::Status(id, reply) => answer(reply, self.status(&id)),
             Event::Pending(queue, reply) => answer(reply, Reply::Pending(self.scheduler.pending(&queue))),
             Event::Loads(reply) => answer(reply, Reply::Loads(self.scheduler.loads())),
-            Event::Vacate(id, reply) => {
-                let vacant = self.scheduler.vacate(now, &id, now.mono + VACATE_TERM);
+            Event::Vacate(id, wait, reply) => {
+                let vacant = self.scheduler.vacate(now, &id, now.mono + VACATE_TERM, wait);
                 answer(reply, Reply::Vacant(vacant));
             }
         }
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -74,7 +74,7 @@
     match call {
         Call::Status { part, id } => owner::ask(node, part, |reply| Event::Status(id, reply)).await,
         Call::Pending { part, queue } => owner::ask(node, part, |reply| Event::Pending(queue, reply)).await,
-        Call::Vacate { part, worker } => owner::ask(node, part, |reply| Event::Vacate(worker, reply)).await,
+        Call::Vacate { part, worker, wait } => owner::ask(node, part, |reply| Event::Vacate(worker, wait, reply)).await,
         Call::Loads { part } => owner::ask(node, part, Event::Loads).await,
         Call::Append { part, id, request } => append(node, part, &id, &request, APPEND_TIMEOUT).await,
         Call::Report(report) => duty::report(node, report),
--- a/fleet/src/upkeep.rs
+++ b/fleet/src/upkeep.rs
@@ -10,6 +10,7 @@
 use oriolewall::exchange::{Call, PartId, Reply};
 use oriolewall::id::{InstanceId, PoolId};
 use serde_json::json;
+use tokio::task::JoinSet;
 
 use crate::duty::{self, CALL_TIMEOUT, Holder, ORDER_WITHIN};
 use crate::node::Node;
@@ -57,7 +58,7 @@
     }
 
     /// Takes all waves on that are not completed.
-    pub(crate) async fn advance(&mut self, node: &Arc<Node>, machines: &Machines, listed: &[Machine], holder: &mut Holder) {
+    pub(crate) async fn advance(&mut self, node: &Arc<Node>, machines: &Arc<Machines>, listed: &[Machine], holder: &mut Holder) {
         let catalog = node.catalog.load_full();
         let mut vacating = HashSet::new();
         for (number, wave) in &catalog.waves {
@@ -81,7 +82,7 @@
 /// One round of one wave.
 struct Step<'a> {
     node: &'a Arc<Node>,
-    machines: &'a Machines,
+    machines: &'a Arc<Machines>,
     listed: &'a [Machine],
     number: u64,
     earlier: &'a HashSet<Arc<str>>,
@@ -121,8 +122,7 @@
         let due_by_now = (wave.instances.len() as f64 * part).ceil() as usize;
         let mut behind = due_by_now.saturating_sub(progress.begun.len());
         let asked = clock::now().mono;
-        let mut vacating = HashSet::new();
-        let mut vacant: Vec<Arc<str>> = Vec::new();
+        let mut checks = JoinSet::new();
         let mut by_pool: HashMap<&PoolId, usize> = HashMap::new();
         for (name, machine) in ready {
             if room == 0 {
@@ -136,22 +136,22 @@
             behind = behind.saturating_sub(1);
             *taken += 1;
             room -= 1;
-            if duty::is_vacant(self.node, &machine.pool, machine.worker.clone()).await {
-                vacant.push(name.clone());
-            } else {
-                vacating.insert(name.clone());
-            }
+            let (node, name) = (self.node.clone(), name.clone());
+            let (pool, worker) = (machine.pool.clone(), machine.worker.clone());
+            checks.spawn(async move { (duty::is_vacant(&node, &pool, worker, true).await, name) });
         }
-        if !vacant.is_empty() && holder.announce(self.node, &vacant).await {
+        let (vacant, busy): (Vec<_>, Vec<_>) = checks.join_all().await.into_iter().partition(|(vacant, _)| *vacant);
+        let vacant: Vec<Arc<str>> = vacant.into_iter().map(|(_, name)| name).collect();
+        let vacating = busy.into_iter().map(|(_, name)| name).collect();
+        // After slow answers workers may be kept empty no longer. The next round asks again.
+        if !vacant.is_empty() && holder.announce(self.node, &vacant).await && clock::now().mono <= asked + ORDER_WITHIN {
+            let mut orders = JoinSet::new();
             for name in vacant {
-                // Slow answers: workers may be kept empty no longer. The next round asks again.
-                if asked + ORDER_WITHIN < clock::now().mono {
-                    break;
-                }
-                if self.begin(&name, holder.token).await {
-                    progress.begun.insert(name);
-                    left -= 1;
-                }
+                orders.spawn(begin(self.node.clone(), self.machines.clone(), self.number, name, holder.token));
+            }
+            for name in orders.join_all().await.into_iter().flatten() {
+                progress.begun.insert(name);
+                left -= 1;
             }
             // Without the record the next holder asks again; the platform answers that it is done.
             let names: Vec<&Arc<str>> = progress.begun.iter().collect();
@@ -184,15 +184,6 @@
         all
     }
 
-    async fn begin(&self, name: &str, token: u64) -> bool {
-        let answer = self.machines.upkeep(name, self.number, token, CALL_TIMEOUT).await;
-        self.node.decisions.line(
-            "upkeep",
-            json!({ "instance": name, "wave": self.number, "token": token, "outcome": format!("{answer:?}") }),
-        );
-        matches!(answer, Answer::Done | Answer::Wave)
-    }
-
     /// Shows operators how far the wave is; returns whether that stands in the log.
     async fn show(&self, state: &'static str) -> bool {
         let entry = Entry {
@@ -209,3 +200,13 @@
         }
     }
 }
+
+/// Takes an instance down; returns its name if its upkeep has begun.
+async fn begin(node: Arc<Node>, machines: Arc<Machines>, wave: u64, name: Arc<str>, token: u64) -> Option<Arc<str>> {
+    let answer = machines.upkeep(&name, wave, token, CALL_TIMEOUT).await;
+    node.decisions.line(
+        "upkeep",
+        json!({ "instance": name, "wave": wave, "token": token, "outcome": format!("{answer:?}") }),
+    );
+    matches!(answer, Answer::Done | Answer::Wave).then_some(name)
+}
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -137,6 +137,11 @@
         self.idle_since.remove(&order.name);
     }
 
+    /// Notes that an order was not given or certainly not carried out.
+    pub fn withdrawn(&mut self, order: &Move) {
+        self.ordered.remove(&order.name);
+    }
+
     /// Notes that a pool does not take an instance: it is of another kind, or gone.
     pub fn refused(&mut self, now: Duration, order: &Move) {
         self.refused.insert((order.name.clone(), order.to.clone()), now);
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -45,6 +45,8 @@
         part: PartId,
         /// The worker.
         worker: InstanceId,
+        /// Whether to keep new work away until what runs there has ended.
+        wait: bool,
     },
     /// How busy the workers of a partition's pools are.
     Loads {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -710,16 +710,21 @@
         self.fenced = true;
     }
 
-    /// Asks for a worker to be emptied until a time; returns whether nothing runs there.
-    pub fn vacate(&mut self, now: Now, id: &InstanceId, until: Duration) -> bool {
+    /// Keeps new work away from a worker until a time; returns whether nothing runs
+    /// there. Unless the caller waits for what runs, a busy worker stays in service.
+    pub fn vacate(&mut self, now: Now, id: &InstanceId, until: Duration, wait: bool) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
             return true;
         };
+        let vacant = worker.touched && worker.runs.is_empty();
+        if !vacant && !wait {
+            return false;
+        }
         if worker.vacate_until < now.mono {
             worker.vacate_since = now.mono;
         }
         worker.vacate_until = worker.vacate_until.max(until);
-        worker.touched && worker.runs.is_empty()
+        vacant
     }
 
     /// Has a job's record written with the next commit.
--- a/lib/tests/test_balance.rs
+++ b/lib/tests/test_balance.rs
@@ -108,3 +108,15 @@
     assert!(planner.plan(at(1000), &loads, &standby, &instances).is_empty());
     assert_eq!(planner.plan(at(31_000), &loads, &standby, &instances).len(), 1);
 }
+
+#[test]
+fn an_instance_whose_order_was_withdrawn_is_offered_again() {
+    let instances = [instance(0, "busy"), instance(1, "rest")];
+    let loads = BTreeMap::from([(PoolId::from("busy"), load(1000, 3000, 0, &[]))]);
+    let mut planner = Planner::default();
+    let moves = planner.plan(at(0), &loads, &[Arc::from("rest")], &instances);
+    planner.ordered(at(0), &moves[0]);
+    assert!(planner.plan(at(200), &loads, &[Arc::from("rest")], &instances).is_empty());
+    planner.withdrawn(&moves[0]);
+    assert_eq!(planner.plan(at(400), &loads, &[Arc::from("rest")], &instances), moves);
+}
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -12,7 +12,7 @@
 use oriolewall::order::{Active, Answer, How, Look, Refusal};
 use oriolewall::roster::RunKey;
 use oriolewall::spec::Job;
-use testutils::owner::{Fixture, at, end, step, submit, task, worker};
+use testutils::owner::{Fixture, LEASE, at, end, step, submit, task, worker};
 
 #[test]
 fn nothing_starts_before_its_intent_is_stored() {
@@ -394,3 +394,21 @@
     fixture.pass(200);
     assert!(fixture.starts.iter().all(|it| &*it.worker == "w1"));
 }
+
+#[test]
+fn a_busy_worker_that_nobody_waits_for_stays_in_service() {
+    let mut fixture = Fixture::new(vec![worker("w1")]);
+    fixture.pass(50);
+    fixture.look("w1", 500, vec![], vec![]);
+    fixture.request("first", submit("", vec![step(1, 1000)]));
+    fixture.pass(100);
+    let until = fixture.now.mono + LEASE;
+    assert!(!fixture.owner.vacate(fixture.now, &Arc::from("w1"), until, false));
+    fixture.request("next", submit("", vec![step(1, 1000)]));
+    fixture.pass(100);
+    assert_eq!(fixture.starts.len(), 2);
+    assert!(!fixture.owner.vacate(fixture.now, &Arc::from("w1"), until, true));
+    fixture.request("last", submit("", vec![step(1, 1000)]));
+    fixture.pass(100);
+    assert_eq!(fixture.starts.len(), 2, "it is being emptied");
+}
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -195,7 +195,7 @@
     }
     fixture
         .owner
-        .vacate(fixture.now, &placed[0].0, fixture.now.mono + Duration::from_secs(4));
+        .vacate(fixture.now, &placed[0].0, fixture.now.mono + Duration::from_secs(4), true);
     fixture.pass(100);
     assert!(fixture.stops.is_empty(), "the other one may be about to stop");
     for (id, key) in &placed {
