--- a/lib/src/catalog.rs
+++ b/lib/src/catalog.rs
@@ -56,8 +56,6 @@
 /// A pool of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pool {
-    /// Whether its workers refuse what does not fit.
-    pub guarded: bool,
     /// Whether its instances are powered off.
     pub standby: bool,
 }
--- /dev/null
+++ b/lib/src/commit.rs
@@ -0,0 +1,183 @@
+//! What an owner appends to the log, and what has to wait for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::clock::Now;
+use crate::durable::{Id, Phase};
+use crate::id::InstanceId;
+use crate::order::{Action, Start};
+use crate::roster::{RunKey, RunPhase, Worker};
+use crate::scheduler::{LOOK_GAP, START_LIMIT, Scheduler, Tracked};
+use crate::silence::SILENCE_PREFIX;
+
+/// Least time between two commits; what comes in between shares one.
+const COMMIT_GAP: Duration = Duration::from_millis(25);
+/// Ended jobs are forgotten after this; callers may ask for 120 s.
+const KEEP_ENDED: Duration = Duration::from_secs(150);
+/// Requests that are recorded as jobs are removed from the log together after this.
+const FORGET_GAP: Duration = Duration::from_secs(3);
+
+/// What waits for the log to confirm a commit.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    jobs: Vec<(Id, Phase)>,
+    intents: Vec<(InstanceId, RunKey)>,
+    recorded: Vec<(InstanceId, u64, u64)>,
+    silences: Vec<(InstanceId, bool)>,
+}
+
+impl Scheduler {
+    /// Notes that the records of the last commit are in the log.
+    pub fn committed(&mut self, now: Now) {
+        let Some(batch) = self.in_flight.take() else {
+            return;
+        };
+        self.prove(self.last_commit);
+        for (id, phase) in batch.jobs {
+            let Some(tracked) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            tracked.durable = phase;
+            if !tracked.stored {
+                tracked.stored = true;
+                self.forget.push(id);
+            }
+        }
+        for (id, seen, born_ms) in batch.recorded {
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.listed.born_ms == born_ms
+            {
+                worker.recorded = worker.recorded.max(seen);
+            }
+        }
+        for (id, removed) in batch.silences {
+            if let Some(worker) = self.workers.get_mut(&id)
+                && removed
+            {
+                worker.silence_written = None;
+                worker.silence_removal = false;
+            }
+        }
+        for (id, key) in batch.intents {
+            self.start(now, id, key);
+        }
+    }
+
+    /// Orders a start whose intent is in the log, if it is still wanted.
+    fn start(&mut self, now: Now, id: InstanceId, key: RunKey) {
+        let wanted = self.is_wanted(&id, &key);
+        let out = |it: &Worker| self.catalog.zones_out.contains(&it.listed.zone);
+        let worker = self.workers.get(&id);
+        let intended = worker.is_some_and(|it| it.runs.get(&key).is_some_and(|run| run.phase == RunPhase::Intended));
+        if !intended {
+            return;
+        }
+        let clock_ms = worker.and_then(|it| it.clock_ms(now.mono));
+        let open = worker.is_some_and(|it| it.is_open(now.mono) && !out(it));
+        let ticket = self.ticket(now, &key.task, &id);
+        let (true, true, Some(clock_ms), Some(ticket)) = (wanted, open, clock_ms, ticket) else {
+            self.release(&id, &key);
+            self.revert(&id, &key, "not_sent");
+            return;
+        };
+        let until_ms = clock_ms + START_LIMIT.as_millis() as u64;
+        let worker = self.workers.get_mut(&id).expect("looked up above");
+        worker.extend(until_ms);
+        worker.next_look = worker.next_look.min(now.mono + LOOK_GAP);
+        let run = worker.runs.get_mut(&key).expect("looked up above");
+        run.phase = RunPhase::Sent;
+        run.until_ms = until_ms;
+        let record = &self.jobs[&key.task.job].record;
+        let position = record.position(&key.task).expect("a wanted run has a task");
+        let start = Start {
+            worker: id,
+            payload: record.spec().payload.clone(),
+            checkpoint: record.tasks[position].checkpoint.clone(),
+            until_ms,
+            ticket,
+            key,
+        };
+        self.actions.push(Action::Start(start));
+    }
+
+    /// Appends what has changed, one commit at a time.
+    pub(crate) fn commit(&mut self, now: Now) {
+        if !self.may_commit(now) {
+            return;
+        }
+        let idle = self.dirty.is_empty() && self.removed.is_empty() && !self.owes_silences(now);
+        let mut batch = Batch::default();
+        for worker in self.workers.values_mut() {
+            if worker.recorded < worker.seen {
+                match idle {
+                    // Nothing of these ends has to be kept.
+                    true => worker.recorded = worker.seen,
+                    false => batch.recorded.push((worker.listed.id.clone(), worker.seen, worker.listed.born_ms)),
+                }
+            }
+        }
+        if idle {
+            return;
+        }
+        let mut records = Vec::new();
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(tracked) = self.jobs.get(&id) else {
+                continue;
+            };
+            let encoded = rmp_serde::to_vec(&tracked.record).expect("records can be encoded");
+            batch.jobs.push((id.clone(), tracked.record.phase));
+            records.push((id, Some(Bytes::from(encoded))));
+        }
+        records.extend(self.removed.drain(..).map(|id| (id, None)));
+        for (id, value) in self.silence_records(now) {
+            batch.silences.push((id.clone(), value.is_none()));
+            records.push((Arc::from(format!("{SILENCE_PREFIX}{id}")), value));
+        }
+        batch.intents = std::mem::take(&mut self.intents);
+        self.in_flight = Some(batch);
+        self.last_commit = now.mono;
+        self.actions.push(Action::Commit(records));
+    }
+
+    /// Earliest time of the next commit.
+    pub(crate) fn next_commit(&self) -> Duration {
+        self.last_commit + COMMIT_GAP
+    }
+
+    /// Whether the log can take another commit.
+    pub(crate) fn may_commit(&self, now: Now) -> bool {
+        self.in_flight.is_none() && self.next_commit() <= now.mono
+    }
+
+    /// Drops orders to start whose run was given up before they were sent: the
+    /// worker has a new life, whose clock is far behind the time that voids them.
+    pub(crate) fn drop_stale_starts(&mut self) {
+        let workers = &self.workers;
+        self.actions.retain(|action| match action {
+            Action::Start(start) => workers.get(&start.worker).is_some_and(|it| it.runs.contains_key(&start.key)),
+            _ => true,
+        });
+    }
+
+    /// Removes requests that stand in the log as jobs, and jobs that ended long ago.
+    pub(crate) fn forget(&mut self, now: Now) {
+        if now.mono < self.last_forget + FORGET_GAP {
+            return;
+        }
+        self.last_forget = now.mono;
+        if !self.forget.is_empty() {
+            let ids = std::mem::take(&mut self.forget);
+            self.actions.push(Action::Forget(ids));
+        }
+        let keep_ms = KEEP_ENDED.as_millis() as u64;
+        let is_old = |it: &Tracked| it.durable != Phase::Open && it.record.ended_ms + keep_ms < now.wall_ms();
+        let old: Vec<Id> = self.jobs.iter().filter(|(_, it)| is_old(it)).map(|(id, _)| id.clone()).collect();
+        for id in old {
+            self.jobs.remove(&id);
+            self.removed.push(id);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/inherit.rs
@@ -0,0 +1,130 @@
+//! What the owner of a pool takes over from the log and from the list of workers.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use crate::clock::Now;
+use crate::durable::{Id, Phase, Record, State};
+use crate::id::{InstanceId, PoolId};
+use crate::need::Need;
+use crate::roster::{Listed, Run, RunKey, RunPhase, Worker};
+use crate::scheduler::{START_LIMIT, Scheduler, Tracked, refs};
+
+impl Scheduler {
+    /// Takes a job over from the log. To be called for all jobs before workers are set.
+    pub fn load(&mut self, id: Id, record: Record) {
+        if record.phase == Phase::Open {
+            self.open.insert(id.clone());
+        }
+        // What was started for a job that has ended may go on until its worker answers or its lease ends.
+        for (task, position) in refs(&id, &record) {
+            let state = &record.tasks[position];
+            if let State::Placed(worker) = &state.state {
+                let key = RunKey { task, run: state.run };
+                let run = self.placed_before(&record, &key);
+                self.inherited.entry(worker.clone()).or_default().push((key, run));
+            }
+        }
+        let durable = record.phase;
+        self.jobs.insert(
+            id,
+            Tracked {
+                record,
+                durable,
+                stored: true,
+            },
+        );
+    }
+
+    /// Sets the workers that the platform lists for these pools.
+    pub fn set_workers(&mut self, now: Now, listed: Vec<Listed>) {
+        let mut gone: HashSet<InstanceId> = self.workers.keys().cloned().collect();
+        for line in listed {
+            gone.remove(&line.id);
+            let Some(worker) = self.workers.get_mut(&line.id) else {
+                let mut worker = self.known_before(line.clone());
+                self.inherit(&mut worker);
+                self.workers.insert(line.id, worker);
+                continue;
+            };
+            worker.present = true;
+            // A worker known only from records may be in any of its lives.
+            let was_known = worker.listed.born_ms != 0;
+            if was_known && worker.listed.born_ms < line.born_ms {
+                let lost = worker.reborn(line.born_ms, now.mono + self.bounds.lease_max.mul_f64(1.03));
+                worker.listed = line.clone();
+                self.lose(&line.id, lost, "reborn");
+            } else if !was_known || worker.listed.born_ms == line.born_ms {
+                worker.listed = line;
+            }
+        }
+        for id in gone {
+            let worker = self.workers.get_mut(&id).expect("names come from the map");
+            worker.present = false;
+            if worker.runs.is_empty() && !worker.looking && worker.silence_written.is_none() {
+                self.workers.remove(&id);
+            }
+        }
+    }
+
+    /// Workers named by records but not listed: their runs may go on until the leases end.
+    pub fn inherit_unlisted(&mut self) {
+        let missing: Vec<InstanceId> = self.inherited.keys().cloned().collect();
+        for id in missing {
+            let listed = Listed {
+                id: id.clone(),
+                addr: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
+                pool: PoolId::from(""),
+                zone: Arc::from(""),
+                rack: Arc::from(""),
+                labels: Vec::new(),
+                capacity: Need::default(),
+                draining: true,
+                born_ms: 0,
+            };
+            let mut worker = self.known_before(listed);
+            worker.present = false;
+            self.inherit(&mut worker);
+            self.workers.insert(id, worker);
+        }
+    }
+
+    /// A worker on which an earlier owner may have started something.
+    fn known_before(&self, listed: Listed) -> Worker {
+        // The earlier owner renewed leases until its own term ended, unless it
+        // had recorded that the worker was silent.
+        let renewed = self.acquired + self.bounds.term + self.bounds.lease.mul_f64(1.03) + START_LIMIT;
+        let silent = self.silences.get(&listed.id);
+        let mut worker = Worker::new(listed, silent.map_or(renewed, |it| renewed.min(*it)));
+        if silent.is_some() {
+            worker.silence_written = Some(self.acquired);
+            worker.misses = 1;
+        }
+        worker
+    }
+
+    /// A run that a record names, as far as the record tells.
+    fn placed_before(&self, record: &Record, key: &RunKey) -> Run {
+        let step = record.step(key.task.step);
+        Run {
+            phase: RunPhase::Inherited,
+            team: record.submission.team.clone(),
+            reserved: step.reserved(),
+            need: step.need,
+            seen_ms: 0,
+            until_ms: 0,
+            percent: 0,
+            progressed: self.acquired,
+            pace: 100,
+            stop_sent: None,
+        }
+    }
+
+    /// Adds the runs that records place on a worker.
+    fn inherit(&mut self, worker: &mut Worker) {
+        for (key, run) in self.inherited.remove(&worker.listed.id).unwrap_or_default() {
+            *self.usage.entry(run.team.clone()).or_default() += run.need;
+            worker.add(key, run);
+        }
+    }
+}
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -9,23 +9,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-
 use crate::advice::{StepKey, Tickets};
 use crate::catalog::{Catalog, Queue};
 use crate::clock::Now;
+use crate::commit::Batch;
 use crate::durable::{Id, Phase, Record, Ref, Request, State};
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::need::Need;
 use crate::note::Note;
-use crate::order::{Action, Start};
+use crate::order::Action;
 use crate::pace::Arrivals;
-use crate::roster::{Listed, Run, RunKey, RunPhase, Worker};
-use crate::silence::SILENCE_PREFIX;
+use crate::roster::{Run, RunKey, RunPhase, Worker};
 
 /// Time after which an order to start is void.
 /// Ten times the slowest answer of a healthy worker across zones.
-const START_LIMIT: Duration = Duration::from_millis(1000);
+pub(crate) const START_LIMIT: Duration = Duration::from_millis(1000);
 /// Time for which a look waits for something to end.
 const LOOK_WAIT: Duration = Duration::from_millis(1500);
 /// The same while tasks are throttled there.
@@ -36,14 +34,8 @@
 const LOOK_GAP_UNRECORDED: Duration = Duration::from_millis(500);
 /// Time to the next try at a worker that did not answer.
 pub(crate) const RETRY: Duration = Duration::from_millis(400);
-/// Least time between two commits; what comes in between shares one.
-const COMMIT_GAP: Duration = Duration::from_millis(25);
 /// Time after which an unanswered stop is ordered again.
 const STOP_AGAIN: Duration = Duration::from_millis(500);
-/// Ended jobs are forgotten after this; callers may ask for 120 s.
-const KEEP_ENDED: Duration = Duration::from_secs(150);
-/// Requests that are recorded as jobs are removed from the log together after this.
-const FORGET_GAP: Duration = Duration::from_secs(3);
 /// Ends that a worker lists at once; a full page may hide others.
 pub(crate) const ENDS_PAGE: usize = 500;
 /// Time to wait after a worker rejected a task for want of room.
@@ -72,14 +64,6 @@
     pub(crate) stored: bool,
 }
 
-#[derive(Debug, Default)]
-pub(crate) struct Batch {
-    jobs: Vec<(Id, Phase)>,
-    intents: Vec<(InstanceId, RunKey)>,
-    recorded: Vec<(InstanceId, u64, u64)>,
-    silences: Vec<(InstanceId, bool)>,
-}
-
 /// The owner of pools that share a partition of the log.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -141,31 +125,6 @@
         }
     }
 
-    /// Takes a job over from the log. To be called for all jobs before workers are set.
-    pub fn load(&mut self, id: Id, record: Record) {
-        if record.phase == Phase::Open {
-            self.open.insert(id.clone());
-        }
-        // What was started for a job that has ended may go on until its worker answers or its lease ends.
-        for (task, position) in refs(&id, &record) {
-            let state = &record.tasks[position];
-            if let State::Placed(worker) = &state.state {
-                let key = RunKey { task, run: state.run };
-                let run = self.placed_before(&record, &key);
-                self.inherited.entry(worker.clone()).or_default().push((key, run));
-            }
-        }
-        let durable = record.phase;
-        self.jobs.insert(
-            id,
-            Tracked {
-                record,
-                durable,
-                stored: true,
-            },
-        );
-    }
-
     /// Takes a request from the log; repeats change nothing.
     pub fn request(&mut self, now: Now, id: Id, request: Request) {
         match request {
@@ -226,98 +185,6 @@
         self.fenced
     }
 
-    /// Sets the workers that the platform lists for these pools.
-    pub fn set_workers(&mut self, now: Now, listed: Vec<Listed>) {
-        let mut gone: HashSet<InstanceId> = self.workers.keys().cloned().collect();
-        for line in listed {
-            gone.remove(&line.id);
-            let Some(worker) = self.workers.get_mut(&line.id) else {
-                let mut worker = self.known_before(line.clone());
-                self.inherit(&mut worker);
-                self.workers.insert(line.id, worker);
-                continue;
-            };
-            worker.present = true;
-            // A worker known only from records may be in any of its lives.
-            let was_known = worker.listed.born_ms != 0;
-            if was_known && worker.listed.born_ms < line.born_ms {
-                let lost = worker.reborn(line.born_ms, now.mono + self.bounds.lease_max.mul_f64(1.03));
-                worker.listed = line.clone();
-                self.lose(&line.id, lost, "reborn");
-            } else if !was_known || worker.listed.born_ms == line.born_ms {
-                worker.listed = line;
-            }
-        }
-        for id in gone {
-            let worker = self.workers.get_mut(&id).expect("names come from the map");
-            worker.present = false;
-            if worker.runs.is_empty() && !worker.looking && worker.silence_written.is_none() {
-                self.workers.remove(&id);
-            }
-        }
-    }
-
-    /// Workers named by records but not listed: their runs may go on until the leases end.
-    pub fn inherit_unlisted(&mut self) {
-        let missing: Vec<InstanceId> = self.inherited.keys().cloned().collect();
-        for id in missing {
-            let listed = Listed {
-                id: id.clone(),
-                addr: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
-                pool: PoolId::from(""),
-                zone: Arc::from(""),
-                rack: Arc::from(""),
-                labels: Vec::new(),
-                capacity: Need::default(),
-                draining: true,
-                born_ms: 0,
-            };
-            let mut worker = self.known_before(listed);
-            worker.present = false;
-            self.inherit(&mut worker);
-            self.workers.insert(id, worker);
-        }
-    }
-
-    /// A worker on which an earlier owner may have started something.
-    fn known_before(&self, listed: Listed) -> Worker {
-        // The earlier owner renewed leases until its own term ended, unless it
-        // had recorded that the worker was silent.
-        let renewed = self.acquired + self.bounds.term + self.bounds.lease.mul_f64(1.03) + START_LIMIT;
-        let silent = self.silences.get(&listed.id);
-        let mut worker = Worker::new(listed, silent.map_or(renewed, |it| renewed.min(*it)));
-        if silent.is_some() {
-            worker.silence_written = Some(self.acquired);
-            worker.misses = 1;
-        }
-        worker
-    }
-
-    /// A run that a record names, as far as the record tells.
-    fn placed_before(&self, record: &Record, key: &RunKey) -> Run {
-        let step = record.step(key.task.step);
-        Run {
-            phase: RunPhase::Inherited,
-            team: record.submission.team.clone(),
-            reserved: step.reserved(),
-            need: step.need,
-            seen_ms: 0,
-            until_ms: 0,
-            percent: 0,
-            progressed: self.acquired,
-            pace: 100,
-            stop_sent: None,
-        }
-    }
-
-    /// Adds the runs that records place on a worker.
-    fn inherit(&mut self, worker: &mut Worker) {
-        for (key, run) in self.inherited.remove(&worker.listed.id).unwrap_or_default() {
-            *self.usage.entry(run.team.clone()).or_default() += run.need;
-            worker.add(key, run);
-        }
-    }
-
     /// Whether a run is the one that the task's record names, on this worker.
     pub(crate) fn is_wanted(&self, id: &InstanceId, key: &RunKey) -> bool {
         let Some(tracked) = self.jobs.get(&key.task.job) else {
@@ -438,79 +305,6 @@
         });
     }
 
-    /// Notes that the records of the last commit are in the log.
-    pub fn committed(&mut self, now: Now) {
-        let Some(batch) = self.in_flight.take() else {
-            return;
-        };
-        self.prove(self.last_commit);
-        for (id, phase) in batch.jobs {
-            let Some(tracked) = self.jobs.get_mut(&id) else {
-                continue;
-            };
-            tracked.durable = phase;
-            if !tracked.stored {
-                tracked.stored = true;
-                self.forget.push(id);
-            }
-        }
-        for (id, seen, born_ms) in batch.recorded {
-            if let Some(worker) = self.workers.get_mut(&id)
-                && worker.listed.born_ms == born_ms
-            {
-                worker.recorded = worker.recorded.max(seen);
-            }
-        }
-        for (id, removed) in batch.silences {
-            if let Some(worker) = self.workers.get_mut(&id)
-                && removed
-            {
-                worker.silence_written = None;
-                worker.silence_removal = false;
-            }
-        }
-        for (id, key) in batch.intents {
-            self.start(now, id, key);
-        }
-    }
-
-    /// Orders a start whose intent is in the log, if it is still wanted.
-    fn start(&mut self, now: Now, id: InstanceId, key: RunKey) {
-        let wanted = self.is_wanted(&id, &key);
-        let out = |it: &Worker| self.catalog.zones_out.contains(&it.listed.zone);
-        let worker = self.workers.get(&id);
-        let intended = worker.is_some_and(|it| it.runs.get(&key).is_some_and(|run| run.phase == RunPhase::Intended));
-        if !intended {
-            return;
-        }
-        let clock_ms = worker.and_then(|it| it.clock_ms(now.mono));
-        let open = worker.is_some_and(|it| it.is_open(now.mono) && !out(it));
-        let ticket = self.ticket(now, &key.task, &id);
-        let (true, true, Some(clock_ms), Some(ticket)) = (wanted, open, clock_ms, ticket) else {
-            self.release(&id, &key);
-            self.revert(&id, &key, "not_sent");
-            return;
-        };
-        let until_ms = clock_ms + START_LIMIT.as_millis() as u64;
-        let worker = self.workers.get_mut(&id).expect("looked up above");
-        worker.extend(until_ms);
-        worker.next_look = worker.next_look.min(now.mono + LOOK_GAP);
-        let run = worker.runs.get_mut(&key).expect("looked up above");
-        run.phase = RunPhase::Sent;
-        run.until_ms = until_ms;
-        let record = &self.jobs[&key.task.job].record;
-        let position = record.position(&key.task).expect("a wanted run has a task");
-        let start = Start {
-            worker: id,
-            payload: record.spec().payload.clone(),
-            checkpoint: record.tasks[position].checkpoint.clone(),
-            until_ms,
-            ticket,
-            key,
-        };
-        self.actions.push(Action::Start(start));
-    }
-
     /// Decides what is to be done now.
     pub fn poll(&mut self, now: Now) -> Vec<Action> {
         if self.fenced {
@@ -530,16 +324,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Drops orders to start whose run was given up before they were sent: the
-    /// worker has a new life, whose clock is far behind the time that voids them.
-    fn drop_stale_starts(&mut self) {
-        let workers = &self.workers;
-        self.actions.retain(|action| match action {
-            Action::Start(start) => workers.get(&start.worker).is_some_and(|it| it.runs.contains_key(&start.key)),
-            _ => true,
-        });
-    }
-
     /// Gives up runs on silent workers whose leases have ended.
     fn lapse(&mut self, now: Now) {
         let is_over = |it: &Worker| it.has_lapsed(now.mono) && (it.misses != 0 || !it.present) && !it.runs.is_empty();
@@ -614,76 +398,13 @@
         }
     }
 
-    /// Removes requests that stand in the log as jobs, and jobs that ended long ago.
-    fn forget(&mut self, now: Now) {
-        if now.mono < self.last_forget + FORGET_GAP {
-            return;
-        }
-        self.last_forget = now.mono;
-        if !self.forget.is_empty() {
-            let ids = std::mem::take(&mut self.forget);
-            self.actions.push(Action::Forget(ids));
-        }
-        let keep_ms = KEEP_ENDED.as_millis() as u64;
-        let is_old = |it: &Tracked| it.durable != Phase::Open && it.record.ended_ms + keep_ms < now.wall_ms();
-        let old: Vec<Id> = self.jobs.iter().filter(|(_, it)| is_old(it)).map(|(id, _)| id.clone()).collect();
-        for id in old {
-            self.jobs.remove(&id);
-            self.removed.push(id);
-        }
-    }
-
-    /// Whether the log can take another commit.
-    fn may_commit(&self, now: Now) -> bool {
-        self.in_flight.is_none() && self.last_commit + COMMIT_GAP <= now.mono
-    }
-
-    /// Appends what has changed, one commit at a time.
-    fn commit(&mut self, now: Now) {
-        if !self.may_commit(now) {
-            return;
-        }
-        let idle = self.dirty.is_empty() && self.removed.is_empty() && !self.owes_silences(now);
-        let mut batch = Batch::default();
-        for worker in self.workers.values_mut() {
-            if worker.recorded < worker.seen {
-                match idle {
-                    // Nothing of these ends has to be kept.
-                    true => worker.recorded = worker.seen,
-                    false => batch.recorded.push((worker.listed.id.clone(), worker.seen, worker.listed.born_ms)),
-                }
-            }
-        }
-        if idle {
-            return;
-        }
-        let mut records = Vec::new();
-        for id in std::mem::take(&mut self.dirty) {
-            let Some(tracked) = self.jobs.get(&id) else {
-                continue;
-            };
-            let encoded = rmp_serde::to_vec(&tracked.record).expect("records can be encoded");
-            batch.jobs.push((id.clone(), tracked.record.phase));
-            records.push((id, Some(Bytes::from(encoded))));
-        }
-        records.extend(self.removed.drain(..).map(|id| (id, None)));
-        for (id, value) in self.silence_records(now) {
-            batch.silences.push((id.clone(), value.is_none()));
-            records.push((Arc::from(format!("{SILENCE_PREFIX}{id}")), value));
-        }
-        batch.intents = std::mem::take(&mut self.intents);
-        self.in_flight = Some(batch);
-        self.last_commit = now.mono;
-        self.actions.push(Action::Commit(records));
-    }
-
     /// When `poll` should be called again although nothing happens.
     pub fn next_poll(&self, now: Now) -> Duration {
         let looks = self.workers.values().filter(|it| !it.looking).map(|it| it.next_look);
         let next = looks.filter(|it| now.mono < *it).min().unwrap_or(now.mono + LOOK_WAIT);
         // The next commit may also place what arrived since the last one.
-        let commit = match self.in_flight.is_none() && now.mono < self.last_commit + COMMIT_GAP {
-            true => self.last_commit + COMMIT_GAP,
+        let commit = match self.in_flight.is_none() && now.mono < self.next_commit() {
+            true => self.next_commit(),
             false => next,
         };
         next.min(commit)
--- a/lib/tests/test_pool_world.rs
+++ b/lib/tests/test_pool_world.rs
@@ -597,10 +597,7 @@
         ..Catalog::default()
     };
     catalog.queues.insert(queue.name.clone(), Arc::new(queue));
-    let pool = Pool {
-        guarded: false,
-        standby: false,
-    };
+    let pool = Pool { standby: false };
     catalog.pools.insert(Arc::from("pool"), pool);
     let team = Team { weight: 1.0, cap: CAP };
     catalog.teams.insert(Arc::from("team"), team);
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -102,10 +102,7 @@
         ..Catalog::default()
     };
     catalog.queues.insert(queue.name.clone(), Arc::new(queue));
-    let pool = Pool {
-        guarded: false,
-        standby: false,
-    };
+    let pool = Pool { standby: false };
     catalog.pools.insert(Arc::from("pool"), pool);
     catalog
 }
