--- a/lib/src/inherit.rs
+++ b/lib/src/inherit.rs
@@ -51,7 +51,7 @@
             // A worker known only from records may be in any of its lives.
             let was_known = worker.listed.born_ms != 0;
             if was_known && worker.listed.born_ms < line.born_ms {
-                let lost = worker.reborn(line.born_ms, now.mono + self.bounds.lease_max.mul_f64(1.03));
+                let lost = worker.reborn(line.born_ms, now.mono + self.bounds.longest_lease_ends());
                 worker.listed = line.clone();
                 self.lose(&line.id, lost, "reborn");
             } else if !was_known || worker.listed.born_ms == line.born_ms {
@@ -93,7 +93,7 @@
     fn known_before(&self, listed: Listed) -> Worker {
         // The earlier owner renewed leases until its own term ended, unless it
         // had recorded that the worker was silent.
-        let renewed = self.acquired + self.bounds.term + self.bounds.lease.mul_f64(1.03) + START_LIMIT;
+        let renewed = self.acquired + self.bounds.term + self.bounds.lease_ends() + START_LIMIT;
         let silent = self.silences.get(&listed.id);
         let mut worker = Worker::new(listed, silent.map_or(renewed, |it| renewed.min(*it)));
         if silent.is_some() {
--- a/lib/src/observe.rs
+++ b/lib/src/observe.rs
@@ -21,7 +21,7 @@
             worker.listed.born_ms = look.born_ms;
         }
         if worker.listed.born_ms < look.born_ms {
-            let lost = worker.reborn(look.born_ms, now.mono + self.bounds.lease_max.mul_f64(1.03));
+            let lost = worker.reborn(look.born_ms, now.mono + self.bounds.longest_lease_ends());
             self.lose(id, lost, "reborn");
         } else if look.born_ms != 0 && look.born_ms < worker.listed.born_ms {
             // An answer of an earlier life.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -41,6 +41,10 @@
 /// Time to wait after a worker rejected a task for want of room.
 pub(crate) const ROOM_RETRY: Duration = Duration::from_millis(200);
 
+/// True time that passes at most while a worker's clock shows one second; the
+/// platform promises clocks at most 2% slow, 1% is for rounding on the way.
+const SLOWEST_CLOCK: f64 = 1.03;
+
 /// Time limits that hold for one owner.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -54,6 +58,18 @@
     pub stop: Duration,
 }
 
+impl Bounds {
+    /// True time after which a lease has ended on the slowest clock.
+    pub(crate) fn lease_ends(&self) -> Duration {
+        self.lease.mul_f64(SLOWEST_CLOCK)
+    }
+
+    /// The same for the longest lease that a worker grants.
+    pub(crate) fn longest_lease_ends(&self) -> Duration {
+        self.lease_max.mul_f64(SLOWEST_CLOCK)
+    }
+}
+
 /// A job and what is only needed while it is owned.
 #[derive(Debug)]
 pub(crate) struct Tracked {
