one copy: runs, silence records, questions to workers, test fixtures

A run was spelled out field by field in three places; whether a silence record is owed was computed in two; moves and waves each asked workers side by side in code of their own; set_workers was always followed by inherit_unlisted; the wait for a list of workers stood in the owner, not in the takeover; the patience of a standing-by instance was drawn again on each round; 24 tests repeated the same first looks, and the world had its own copy of the fixture's catalog.

Change: Run::new, silence::owed, duty::part_vacant, Fixture::in_touch; set_workers does both steps; take_over waits for the list. Decisions stay as they were; an owner that loses its partition during that wait now writes the same line as one that is fenced while it takes over, where it wrote none. No assertion changed.

--- a/fleet/src/duty.rs
+++ b/fleet/src/duty.rs
@@ -194,8 +194,24 @@
     }
 }
 
+/// Has workers kept empty, side by side; returns those on which nothing runs, and the others.
+pub(crate) async fn part_vacant<T, I>(node: &Arc<Node>, wait: bool, asked: I) -> (Vec<T>, Vec<T>)
+where
+    T: Send + 'static,
+    I: IntoIterator<Item = (PoolId, Option<InstanceId>, T)>,
+{
+    let mut checks = JoinSet::new();
+    for (pool, worker, what) in asked {
+        let node = node.clone();
+        checks.spawn(async move { (is_vacant(&node, &pool, worker, wait).await, what) });
+    }
+    let (vacant, busy): (Vec<_>, Vec<_>) = checks.join_all().await.into_iter().partition(|(vacant, _)| *vacant);
+    let strip = |it: Vec<(bool, T)>| it.into_iter().map(|(_, what)| what).collect();
+    (strip(vacant), strip(busy))
+}
+
 /// Has a worker kept empty; returns whether nothing runs there.
-pub(crate) async fn is_vacant(node: &Arc<Node>, pool: &PoolId, worker: Option<InstanceId>, wait: bool) -> bool {
+async fn is_vacant(node: &Arc<Node>, pool: &PoolId, worker: Option<InstanceId>, wait: bool) -> bool {
     let Some(worker) = worker else {
         return true;
     };
@@ -256,16 +272,10 @@
             json!({ "pools": planner.standings(), "used_waiting_arriving": demand, "moves": moves.len() }),
         );
     }
-    let mut checks = JoinSet::new();
-    for order in moves {
-        planner.ordered(now, &order);
-        let node = node.clone();
-        checks.spawn(async move { (is_vacant(&node, &order.from, order.worker.clone(), false).await, order) });
-    }
-    let checked = checks.join_all().await;
-    let (vacant, busy): (Vec<_>, Vec<_>) = checked.into_iter().partition(|(vacant, _)| *vacant);
-    busy.iter().for_each(|(_, order)| planner.withdrawn(order));
-    let vacant: Vec<Move> = vacant.into_iter().map(|(_, order)| order).collect();
+    moves.iter().for_each(|order| planner.ordered(now, order));
+    let asked = moves.into_iter().map(|it| (it.from.clone(), it.worker.clone(), it));
+    let (vacant, busy): (Vec<Move>, Vec<Move>) = part_vacant(node, false, asked).await;
+    busy.iter().for_each(|order| planner.withdrawn(order));
     let names: Vec<Arc<str>> = vacant.iter().map(|it| it.name.clone()).collect();
     // After slow answers workers may be kept empty no longer. The next round asks again.
     if names.is_empty() || !holder.announce(node, &names).await || now + ORDER_WITHIN < clock::now().mono {
--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -79,14 +79,13 @@
 /// Waits until there are too few owners. From then on this instance is one of
 /// them until it ends: to leave again would hand its partitions over once more.
 async fn stand_by(node: &Node) {
-    let mut step_in = STEP_IN_OVER.mul_f64(rand::random::<f64>()) + SHORT_FOR;
+    let step_in = STEP_IN_OVER.mul_f64(rand::random::<f64>()) + SHORT_FOR;
     let mut short_since = None;
     loop {
         let owners: HashSet<SocketAddr> = node.owners.load().values().copied().collect();
         let now = clock::now().mono;
         if FEWEST_OWNERS <= owners.len() || !node.reaches_log() {
             short_since = None;
-            step_in = STEP_IN_OVER.mul_f64(rand::random::<f64>()) + SHORT_FOR;
         } else if *short_since.get_or_insert(now) + step_in <= now {
             node.decisions
                 .line("ownership", json!({ "owners": owners.len(), "outcome": "stepping in" }));
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -35,8 +35,6 @@
 pub(crate) const PAUSE: Duration = Duration::from_millis(100);
 /// Time after which an owner that has read no requests cannot tell that a job does not exist.
 const TAIL_FRESH: Duration = Duration::from_millis(4500);
-/// Age of the list of workers with which an owner may begin; it is read every 200 ms.
-const LIST_AGE: Duration = Duration::from_millis(400);
 /// Time between two reports on teams' caps.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Time for a call for advice; the service takes one call at a time and counts workers.
@@ -110,13 +108,6 @@
         );
         return;
     };
-    // The list may date from before, when nothing here needed it.
-    let mut list = node.workers_read.subscribe();
-    while *list.borrow_and_update() + LIST_AGE < started.mono {
-        if tokio::time::timeout(CALL_TIMEOUT, list.changed()).await.is_err() && !still_owned(&node, part, epoch) {
-            return;
-        }
-    }
     let took = clock::now().mono.saturating_sub(started.mono);
     node.metrics.takeover_seconds.observe(took.as_secs_f64());
     node.decisions.line(
@@ -260,7 +251,6 @@
             }
         }
         self.scheduler.set_workers(clock::now(), ours);
-        self.scheduler.inherit_unlisted();
     }
 
     /// Reports use and demand to the instance that divides the caps.
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -26,6 +26,8 @@
 const LEASE_MAX: Duration = Duration::from_millis(4500);
 /// Time for which a read of requests waits.
 const TAIL_WAIT: Duration = Duration::from_secs(2);
+/// Age of the list of workers with which an owner may begin; it is read every 200 ms.
+const LIST_AGE: Duration = Duration::from_millis(400);
 /// Suffix of the key of a request to cancel.
 const CANCEL_SUFFIX: char = '!';
 
@@ -34,8 +36,10 @@
     format!("{id}{CANCEL_SUFFIX}")
 }
 
-/// Sets the epoch and reads the jobs and requests; `None` if a later owner is there.
+/// Sets the epoch, reads the jobs and requests, and waits for a list of workers of
+/// this time; `None` if a later owner is there.
 pub(crate) async fn take_over(node: &Node, part: PartId, epoch: u64) -> Option<(Scheduler, u64)> {
+    let started = clock::now().mono;
     let jobs = Part { topic: JOBS, number: part };
     let requests = Part {
         topic: REQUESTS,
@@ -82,6 +86,13 @@
     let tail = read_all(node, requests, epoch).await?;
     let next = tail.next;
     take_requests(node, part, &mut scheduler, tail);
+    // The list may date from before, when nothing here needed it.
+    let mut list = node.workers_read.subscribe();
+    while *list.borrow_and_update() + LIST_AGE < started {
+        if tokio::time::timeout(CALL_TIMEOUT, list.changed()).await.is_err() && !still_owned(node, part, epoch) {
+            return None;
+        }
+    }
     Some((scheduler, next))
 }
 
--- a/fleet/src/upkeep.rs
+++ b/fleet/src/upkeep.rs
@@ -122,7 +122,7 @@
         let due_by_now = (wave.instances.len() as f64 * part).ceil() as usize;
         let mut behind = due_by_now.saturating_sub(progress.begun.len());
         let asked = clock::now().mono;
-        let mut checks = JoinSet::new();
+        let mut chosen = Vec::new();
         let mut by_pool: HashMap<&PoolId, usize> = HashMap::new();
         for (name, machine) in ready {
             if room == 0 {
@@ -136,13 +136,9 @@
             behind = behind.saturating_sub(1);
             *taken += 1;
             room -= 1;
-            let (node, name) = (self.node.clone(), name.clone());
-            let (pool, worker) = (machine.pool.clone(), machine.worker.clone());
-            checks.spawn(async move { (duty::is_vacant(&node, &pool, worker, true).await, name) });
+            chosen.push((machine.pool.clone(), machine.worker.clone(), name.clone()));
         }
-        let (vacant, busy): (Vec<_>, Vec<_>) = checks.join_all().await.into_iter().partition(|(vacant, _)| *vacant);
-        let vacant: Vec<Arc<str>> = vacant.into_iter().map(|(_, name)| name).collect();
-        let vacating = busy.into_iter().map(|(_, name)| name).collect();
+        let (vacant, vacating) = duty::part_vacant(self.node, true, chosen).await;
         // After slow answers workers may be kept empty no longer. The next round asks again.
         if !vacant.is_empty() && holder.announce(self.node, &vacant).await && clock::now().mono <= asked + ORDER_WITHIN {
             let mut orders = JoinSet::new();
@@ -161,7 +157,7 @@
         if left == 0 && self.show("completed").await {
             progress.shown = Some("completed");
         }
-        vacating
+        vacating.into_iter().collect()
     }
 
     /// Instances that a pool can do without at once: a third of those in service.
--- a/lib/src/inherit.rs
+++ b/lib/src/inherit.rs
@@ -65,10 +65,11 @@
                 self.workers.remove(&id);
             }
         }
+        self.inherit_unlisted();
     }
 
     /// Workers named by records but not listed: their runs may go on until the leases end.
-    pub fn inherit_unlisted(&mut self) {
+    fn inherit_unlisted(&mut self) {
         let missing: Vec<InstanceId> = self.inherited.keys().cloned().collect();
         for id in missing {
             let listed = Listed {
@@ -106,18 +107,8 @@
     /// A run that a record names, as far as the record tells.
     fn placed_before(&self, record: &Record, key: &RunKey) -> Run {
         let step = record.step(key.task.step);
-        Run {
-            phase: RunPhase::Inherited,
-            team: record.submission.team.clone(),
-            reserved: step.reserved(),
-            need: step.need,
-            seen_ms: 0,
-            until_ms: 0,
-            percent: 0,
-            progressed: self.acquired,
-            pace: 100,
-            stop_sent: None,
-        }
+        let team = record.submission.team.clone();
+        Run::new(RunPhase::Inherited, team, step.reserved(), step.need, self.acquired)
     }
 
     /// Adds the runs that records place on a worker.
--- a/lib/src/observe.rs
+++ b/lib/src/observe.rs
@@ -186,16 +186,9 @@
             let capacity = worker.listed.capacity;
             let (team, reserved, need) = self.describe(&active.key, capacity);
             let run = Run {
-                phase: RunPhase::Stopping,
-                team: team.clone(),
-                reserved,
-                need,
                 seen_ms: clock_ms,
-                until_ms: 0,
                 percent: active.percent,
-                progressed: now.mono,
-                pace: 100,
-                stop_sent: None,
+                ..Run::new(RunPhase::Stopping, team.clone(), reserved, need, now.mono)
             };
             *self.usage.entry(team).or_default() += need;
             self.workers
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -245,21 +245,8 @@
         let worker = self.workers.get_mut(&id).expect("it was chosen");
         let free_cpu = worker.listed.capacity.less(&worker.used).cpu;
         let key = RunKey { task: task.clone(), run };
-        worker.add(
-            key.clone(),
-            Run {
-                phase: RunPhase::Intended,
-                team: team.clone(),
-                reserved,
-                need,
-                seen_ms: 0,
-                until_ms: 0,
-                percent: 0,
-                progressed: now.mono,
-                pace: 100,
-                stop_sent: None,
-            },
-        );
+        let intended = Run::new(RunPhase::Intended, team.clone(), reserved, need, now.mono);
+        worker.add(key.clone(), intended);
         *self.usage.entry(team).or_default() += need;
         self.intents.push((id.clone(), key));
         self.mark(&task.job);
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -295,6 +295,22 @@
 }
 
 impl Run {
+    /// A run that nobody has seen yet.
+    pub fn new(phase: RunPhase, team: TeamId, reserved: Need, need: Need, now: Duration) -> Run {
+        Run {
+            phase,
+            team,
+            reserved,
+            need,
+            seen_ms: 0,
+            until_ms: 0,
+            percent: 0,
+            progressed: now,
+            pace: 100,
+            stop_sent: None,
+        }
+    }
+
     /// Whether it does not take place, given that the worker did not list it at a time of its clock.
     pub fn is_over(&self, clock_ms: u64) -> bool {
         match self.phase {
--- a/lib/src/silence.rs
+++ b/lib/src/silence.rs
@@ -9,6 +9,7 @@
 use crate::clock::Now;
 use crate::id::InstanceId;
 use crate::note::Note;
+use crate::roster::Worker;
 use crate::scheduler::Scheduler;
 
 /// Prefix of the keys of these records among those of jobs.
@@ -35,24 +36,25 @@
         let mut records = Vec::new();
         let mut notes = Vec::new();
         for worker in self.workers.values_mut() {
-            let runs = worker.runs.len();
-            let silent = worker.is_silent(now.mono);
-            let due = worker.silence_written.is_none_or(|it| it + REFRESH <= now.mono);
-            if silent && due {
-                let left_ms = worker.time_left(now.mono).as_millis() as u64 + 1;
-                let encoded = rmp_serde::to_vec(&Silence { left_ms }).expect("records can be encoded");
-                if worker.silence_written.is_none() {
-                    notes.push(Note::Silent {
-                        worker: worker.listed.id.clone(),
-                        runs,
-                        left_ms,
-                    });
+            match owed(worker, now) {
+                None => {}
+                Some(Owed::Record) => {
+                    let left_ms = worker.time_left(now.mono).as_millis() as u64 + 1;
+                    let encoded = rmp_serde::to_vec(&Silence { left_ms }).expect("records can be encoded");
+                    if worker.silence_written.is_none() {
+                        notes.push(Note::Silent {
+                            worker: worker.listed.id.clone(),
+                            runs: worker.runs.len(),
+                            left_ms,
+                        });
+                    }
+                    worker.silence_written = Some(now.mono);
+                    records.push((worker.listed.id.clone(), Some(Bytes::from(encoded))));
+                }
+                Some(Owed::Removal) => {
+                    worker.silence_removal = true;
+                    records.push((worker.listed.id.clone(), None));
                 }
-                worker.silence_written = Some(now.mono);
-                records.push((worker.listed.id.clone(), Some(Bytes::from(encoded))));
-            } else if !silent && worker.silence_written.is_some() && !worker.silence_removal {
-                worker.silence_removal = true;
-                records.push((worker.listed.id.clone(), None));
             }
         }
         for note in notes {
@@ -63,10 +65,27 @@
 
     /// Whether a commit is owed to silent workers.
     pub(crate) fn owes_silences(&self, now: Now) -> bool {
-        self.workers.values().any(|it| {
-            let silent = it.is_silent(now.mono);
-            let due = it.silence_written.is_none_or(|at| at + REFRESH <= now.mono);
-            silent && due || !silent && it.silence_written.is_some() && !it.silence_removal
-        })
+        self.workers.values().any(|it| owed(it, now).is_some())
+    }
+}
+
+/// What the log should be told of a worker.
+enum Owed {
+    /// That it is silent, and for how long.
+    Record,
+    /// That it is not silent any more.
+    Removal,
+}
+
+fn owed(worker: &Worker, now: Now) -> Option<Owed> {
+    match worker.is_silent(now.mono) {
+        true => {
+            let due = worker.silence_written.is_none_or(|it| it + REFRESH <= now.mono);
+            due.then_some(Owed::Record)
+        }
+        false => {
+            let stands = worker.silence_written.is_some() && !worker.silence_removal;
+            stands.then_some(Owed::Removal)
+        }
     }
 }
--- a/lib/tests/test_pool_world.rs
+++ b/lib/tests/test_pool_world.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use oriolewall::catalog::{Catalog, Pool, Queue, Team};
+use oriolewall::catalog::{Catalog, Team};
 use oriolewall::clock::Now;
 use oriolewall::durable::{Id, Ref, Request, Submission};
 use oriolewall::id::InstanceId;
@@ -182,7 +182,6 @@
             .collect();
         self.known_life.extend(shown.iter().map(|it| (it.id.clone(), it.born_ms)));
         self.owner.set_workers(self.now(), shown);
-        self.owner.inherit_unlisted();
     }
 
     fn submit(&mut self, number: usize) {
@@ -579,26 +578,7 @@
 }
 
 fn catalog() -> Catalog {
-    let queue = Queue {
-        name: Arc::from("queue"),
-        host: "host".to_owned(),
-        prefix: "/q/".to_owned(),
-        pool: Arc::from("pool"),
-        former: Vec::new(),
-        open: false,
-        priority: 0,
-        attempts: 2,
-        stretch: 1.5,
-        target_ms: 600,
-        advice: false,
-    };
-    let mut catalog = Catalog {
-        version: 1,
-        ..Catalog::default()
-    };
-    catalog.queues.insert(queue.name.clone(), Arc::new(queue));
-    let pool = Pool { standby: false };
-    catalog.pools.insert(Arc::from("pool"), pool);
+    let mut catalog = testutils::owner::catalog();
     let team = Team { weight: 1.0, cap: CAP };
     catalog.teams.insert(Arc::from("team"), team);
     catalog
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -46,9 +46,7 @@
 
 #[test]
 fn an_end_is_acknowledged_only_when_it_is_stored() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(2, 1000)]));
     fixture.pass(100);
     let keys: Vec<RunKey> = fixture.starts.iter().map(|it| it.key.clone()).collect();
@@ -73,9 +71,7 @@
 #[test]
 fn a_cancelled_start_counts_until_its_order_is_void() {
     // Bench: cic-oriolewall trouble-3, LIMIT: a start carried out after the cancel had no room.
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 8000)]));
     fixture.pass(100);
     assert_eq!(fixture.starts.len(), 1);
@@ -106,9 +102,7 @@
 
 #[test]
 fn a_job_fails_after_its_queues_number_of_failed_runs() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 1000)]));
     for number in 1..=2 {
         fixture.pass(100);
@@ -122,9 +116,7 @@
 
 #[test]
 fn runs_that_were_stopped_do_not_count_as_failed() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 1000)]));
     for number in 1..=4 {
         fixture.pass(100);
@@ -137,9 +129,7 @@
 
 #[test]
 fn a_cancelled_jobs_tasks_are_stopped_and_never_start_again() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 1000)]));
     fixture.pass(100);
     fixture.started(0, 650);
@@ -155,9 +145,7 @@
 
 #[test]
 fn a_cancel_that_is_read_before_its_job_holds() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", Request::Cancel { at_ms: 0 });
     fixture.request("job", submit("", vec![step(1, 1000)]));
     fixture.pass(300);
@@ -166,9 +154,7 @@
 
 #[test]
 fn workers_are_never_filled_beyond_their_capacity() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(20, 3000)]));
     fixture.pass(300);
     assert_eq!(fixture.starts.len(), 2);
@@ -214,9 +200,7 @@
 
 #[test]
 fn a_zone_that_goes_out_before_the_order_gets_nothing() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.confirms = false;
     fixture.request("job", submit("", vec![step(1, 1000)]));
     fixture.pass(100);
@@ -250,10 +234,7 @@
 
 #[test]
 fn spread_bounds_the_tasks_of_a_step_on_one_worker() {
-    let mut fixture = Fixture::new(vec![worker("w1"), worker("w2")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
-    fixture.look("w2", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1"), worker("w2")]);
     let mut spread = step(3, 100);
     spread.spread = 1;
     fixture.request("job", submit("", vec![spread]));
@@ -263,9 +244,7 @@
 
 #[test]
 fn labels_bound_the_workers() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     let mut labelled = step(1, 100);
     labelled.label = Arc::from("b");
     fixture.request("job", submit("", vec![labelled]));
@@ -275,9 +254,7 @@
 
 #[test]
 fn occurrences_wait_for_their_time() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     let request = Request::Submit(Submission {
         queue: Arc::from("queue"),
         pool: Arc::from("pool"),
@@ -302,9 +279,7 @@
 
 #[test]
 fn a_refused_start_runs_again_under_another_number() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 100)]));
     fixture.pass(100);
     let start = fixture.starts[0].clone();
@@ -342,9 +317,7 @@
 
 #[test]
 fn tasks_that_fill_are_slowed_while_others_miss_their_target() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     let mut serving = step(1, 1000);
     serving.lasting = true;
     serving.target_ms = 100;
@@ -397,9 +370,7 @@
 
 #[test]
 fn a_busy_worker_that_nobody_waits_for_stays_in_service() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("first", submit("", vec![step(1, 1000)]));
     fixture.pass(100);
     let until = fixture.now.mono + LEASE;
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -15,10 +15,7 @@
 #[test]
 fn a_silent_workers_lease_is_not_renewed() {
     // Bench: apmas-cellyard scale-1, LOST: retries renewed the lease of a crashed worker.
-    let mut fixture = Fixture::new(vec![worker("w1"), worker("w2")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
-    fixture.look("w2", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1"), worker("w2")]);
     let mut lasting = step(1, 1000);
     lasting.lasting = true;
     fixture.request("job", submit("", vec![lasting]));
@@ -35,10 +32,7 @@
 
 #[test]
 fn nothing_runs_twice_while_a_lease_may_last() {
-    let mut fixture = Fixture::new(vec![worker("w1"), worker("w2")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
-    fixture.look("w2", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1"), worker("w2")]);
     fixture.request("job", submit("", vec![step(1, 1000)]));
     fixture.pass(100);
     let (id, key) = (fixture.starts[0].worker.clone(), fixture.starts[0].key.clone());
@@ -56,9 +50,7 @@
 #[test]
 fn a_worker_that_returns_to_the_list_keeps_its_runs() {
     // Bench: cic-oriolewall trouble-3, TWICE: the new owner took it for a new life.
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 1000)]));
     fixture.pass(100);
     fixture.started(0, 650);
@@ -75,10 +67,7 @@
 
 #[test]
 fn a_new_owner_starts_only_what_runs_nowhere() {
-    let mut fixture = Fixture::new(vec![worker("w1"), worker("w2")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
-    fixture.look("w2", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1"), worker("w2")]);
     fixture.request("job", submit("", vec![step(2, 1000)]));
     fixture.pass(100);
     let keys: Vec<(InstanceId, RunKey)> = fixture.starts.iter().map(|it| (it.worker.clone(), it.key.clone())).collect();
@@ -97,9 +86,7 @@
 
 #[test]
 fn a_fenced_owner_gives_no_more_orders() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture
         .owner
         .look_failed(fixture.now, &Arc::from("w1"), Answer::Refused(Refusal::Fenced));
@@ -112,9 +99,7 @@
 
 #[test]
 fn a_new_life_of_a_worker_runs_nothing_of_before() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 100)]));
     fixture.pass(100);
     fixture.started(0, 650);
@@ -135,10 +120,7 @@
 fn owners_that_follow_each_other_do_not_wait_anew_for_a_silent_worker() {
     // Bench: apmas-cellyard trouble-2 --seed 548027342396, LOST: each owner of a
     // rolling restart waited for the longest lease from its own start.
-    let mut fixture = Fixture::new(vec![worker("w1"), worker("w2")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
-    fixture.look("w2", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1"), worker("w2")]);
     let mut lasting = step(1, 1000);
     lasting.lasting = true;
     fixture.request("job", submit("", vec![lasting]));
@@ -209,9 +191,7 @@
 fn owners_that_follow_each_other_do_not_wait_anew_for_a_worker_that_is_gone() {
     // Bench: apmas-cellyard hunt-0351-15, LOST: the worker crashed for good, so no
     // owner after that could call it, and none recorded until when its leases last.
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     let mut lasting = step(1, 1000);
     lasting.lasting = true;
     fixture.request("job", submit("", vec![lasting]));
@@ -236,9 +216,7 @@
 
 #[test]
 fn a_lease_is_not_renewed_while_the_log_says_that_its_worker_is_silent() {
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 1000)]));
     fixture.pass(100);
     let key = fixture.starts[0].key.clone();
@@ -287,9 +265,7 @@
 fn an_order_whose_run_is_given_up_before_it_is_sent_is_dropped() {
     // World seeds 1878 and 2806, QUOTA: the order reached the worker's new life,
     // whose clock is far behind the time that voids it.
-    let mut fixture = Fixture::new(vec![worker("w1")]);
-    fixture.pass(50);
-    fixture.look("w1", 500, vec![], vec![]);
+    let mut fixture = Fixture::in_touch(vec![worker("w1")]);
     fixture.request("job", submit("", vec![step(1, 1000)]));
     fixture.confirms = false;
     fixture.pass(100);
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -170,6 +170,17 @@
         fixture
     }
 
+    /// An owner to which every worker has shown, at 500 ms of its clock, that nothing runs there.
+    pub fn in_touch(workers: Vec<Listed>) -> Fixture {
+        let ids: Vec<InstanceId> = workers.iter().map(|it| it.id.clone()).collect();
+        let mut fixture = Fixture::new(workers);
+        fixture.pass(50);
+        for id in ids {
+            fixture.look(&id, 500, vec![], vec![]);
+        }
+        fixture
+    }
+
     /// Another owner takes over from what is in the log.
     pub fn succeed(&mut self) {
         let bounds = Bounds {
@@ -194,7 +205,6 @@
     pub fn list(&mut self) {
         self.owner.set_catalog(Arc::new(self.catalog.clone()));
         self.owner.set_workers(self.now, self.workers.clone());
-        self.owner.inherit_unlisted();
     }
 
     /// Hands the owner a request from the log.
