scheduler: an unread cancel stays in the log

Cause: when a job was recorded, its submission was removed from the log together with the key of its cancellation, read or not. A cancel that was acknowledged between the owner's last read and the removal was gone for the next owner, which ran the job. A cancel read after its job's record was never removed at all. Change: submissions and cancellations are removed separately; a cancellation once the end of its job is recorded. Result: three tests; the first one fails when the keys are removed together.

--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -311,7 +311,7 @@
     fn execute(&mut self, action: Action) {
         match action {
             Action::Commit(records) => self.commit(records),
-            Action::RemoveRequests(ids) => self.remove_requests(ids),
+            Action::RemoveRequests { submissions, cancels } => self.remove_requests(&submissions, &cancels),
             Action::Start(start) => {
                 let (events, fencing_token) = (self.events.clone(), self.epoch);
                 let (id, key) = (start.worker.clone(), start.key.clone());
@@ -437,14 +437,14 @@
         });
     }
 
-    /// Removes requests from the log that have become job records.
-    fn remove_requests(&mut self, ids: Vec<JobKey>) {
+    /// Removes submissions and cancellations from the log that job records contain.
+    fn remove_requests(&mut self, submissions: &[JobKey], cancels: &[JobKey]) {
         let node = self.node.clone();
         let partition = Partition {
             topic: REQUESTS,
             number: self.part,
         };
-        let keys = ids.iter().flat_map(|id| [id.to_string(), cancel_key(id)]);
+        let keys = submissions.iter().map(ToString::to_string).chain(cancels.iter().map(cancel_key));
         let entries: Vec<Entry> = keys.map(|key| Entry { key, value: None }).collect();
         self.background_tasks.spawn(async move {
             // If this fails, the next owner finds the requests and removes them.
--- a/lib/src/commit.rs
+++ b/lib/src/commit.rs
@@ -46,9 +46,12 @@
                 continue;
             };
             tracked.logged_phase = phase;
+            if phase != JobPhase::Open && std::mem::take(&mut tracked.cancel_pending) {
+                self.processed_cancels.push(id.clone());
+            }
             if !tracked.is_logged {
                 tracked.is_logged = true;
-                self.processed_requests.push(id);
+                self.processed_submissions.push(id);
             }
         }
         for (id, sequence, started_ms) in batch.ended_runs {
@@ -176,9 +179,11 @@
             return;
         }
         self.last_cleanup = now.mono;
-        if !self.processed_requests.is_empty() {
-            let ids = std::mem::take(&mut self.processed_requests);
-            self.actions.push(Action::RemoveRequests(ids));
+        if !self.processed_submissions.is_empty() || !self.processed_cancels.is_empty() {
+            self.actions.push(Action::RemoveRequests {
+                submissions: std::mem::take(&mut self.processed_submissions),
+                cancels: std::mem::take(&mut self.processed_cancels),
+            });
         }
         let retention_ms = ENDED_JOB_RETENTION.as_millis() as u64;
         let has_expired = |it: &TrackedJob| it.logged_phase != JobPhase::Open && it.record.ended_ms + retention_ms < now.wall_ms();
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -131,8 +131,13 @@
     /// Append records under the owner's epoch and report when the log has confirmed them.
     /// A key without a value is removed.
     Commit(Vec<(Arc<str>, Option<Bytes>)>),
-    /// Remove from the log the requests of jobs that have a record there.
-    RemoveRequests(Vec<JobKey>),
+    /// Remove requests from the log whose effect is recorded there.
+    RemoveRequests {
+        /// Jobs whose submission is removed.
+        submissions: Vec<JobKey>,
+        /// Jobs whose cancellation is removed.
+        cancels: Vec<JobKey>,
+    },
     /// Order a worker to start a run.
     Start(StartOrder),
     /// Order a worker to stop a run.
--- a/lib/src/recovery.rs
+++ b/lib/src/recovery.rs
@@ -36,6 +36,7 @@
                 record,
                 logged_phase,
                 is_logged: true,
+                cancel_pending: false,
             },
         );
     }
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -83,6 +83,8 @@
     pub(crate) logged_phase: JobPhase,
     /// Whether the log has confirmed a record of the job.
     pub(crate) is_logged: bool,
+    /// Whether a request to cancel the job was read that is still in the log.
+    pub(crate) cancel_pending: bool,
 }
 
 /// The owner of all pools whose jobs are in one partition of the log.
@@ -112,8 +114,11 @@
     pub(crate) pending_starts: Vec<(InstanceId, RunKey)>,
     pub(crate) in_flight_commit: Option<Batch>,
     pub(crate) last_commit: Duration,
-    /// Requests whose jobs are recorded, to be removed from the log.
-    pub(crate) processed_requests: Vec<JobKey>,
+    /// Submissions whose jobs are recorded, to be removed from the log.
+    pub(crate) processed_submissions: Vec<JobKey>,
+    /// Jobs whose end is recorded and whose cancel request was read, which is to be removed
+    /// from the log. One that was not read has to stay for the next owner.
+    pub(crate) processed_cancels: Vec<JobKey>,
     pub(crate) last_cleanup: Duration,
     pub(crate) arrivals: HashMap<PoolId, ArrivalRate>,
     pub(crate) advice: HashMap<StepKey, StepAdvice>,
@@ -148,7 +153,8 @@
             pending_starts: Vec::new(),
             in_flight_commit: None,
             last_commit: Duration::ZERO,
-            processed_requests: Vec::new(),
+            processed_submissions: Vec::new(),
+            processed_cancels: Vec::new(),
             arrivals: HashMap::new(),
             advice: HashMap::new(),
             silent_until: HashMap::new(),
@@ -167,7 +173,7 @@
                 if let Some(tracked) = self.jobs.get(&id) {
                     // Until a record of the job is in the log, the request is the only trace of it there.
                     if tracked.is_logged {
-                        self.processed_requests.push(id);
+                        self.processed_submissions.push(id);
                     }
                     return;
                 }
@@ -183,15 +189,16 @@
                     record: JobRecord::new(submission),
                     logged_phase: JobPhase::Open,
                     is_logged: false,
+                    cancel_pending: false,
                 };
                 self.jobs.insert(id.clone(), tracked);
                 self.open_jobs.insert(id.clone());
                 if self.early_cancels.remove(&id) {
-                    self.end_job(now, &id, JobPhase::Cancelled);
+                    self.cancel_job(now, &id);
                 }
             }
             Request::Cancel { .. } => match self.jobs.contains_key(&id) {
-                true => self.end_job(now, &id, JobPhase::Cancelled),
+                true => self.cancel_job(now, &id),
                 // The cancel may be read before the submission.
                 false => {
                     self.early_cancels.insert(id);
@@ -200,6 +207,19 @@
         }
     }
 
+    /// Cancels a job whose cancel request was read. The request is removed from the log
+    /// once the end of the job is recorded.
+    fn cancel_job(&mut self, now: Now, id: &JobKey) {
+        self.end_job(now, id, JobPhase::Cancelled);
+        let Some(tracked) = self.jobs.get_mut(id) else {
+            return;
+        };
+        match tracked.logged_phase {
+            JobPhase::Open => tracked.cancel_pending = true,
+            _ => self.processed_cancels.push(id.clone()),
+        }
+    }
+
     /// Replaces the operators' configuration.
     pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
         self.catalog = catalog;
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -72,6 +72,44 @@
     assert!(fixture.stored.contains_key("job") || fixture.removed_requests.is_empty());
 }
 
+#[test]
+fn a_cancel_that_was_not_read_stays_in_the_log() {
+    // The cancel of a recorded job was removed together with its submission, although the
+    // owner had not read it. If the pool changed hands then, the next owner ran the job.
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(4000);
+    assert_eq!(fixture.removed_requests.len(), 1, "the submission is recorded");
+    assert!(fixture.removed_cancels.is_empty(), "the cancel may be in the log, unread");
+}
+
+#[test]
+fn a_cancel_is_removed_once_the_end_of_its_job_is_recorded() {
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(4000);
+    fixture.confirms_commits = false;
+    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.advance_ms(4000);
+    assert!(fixture.removed_cancels.is_empty(), "the end of the job is not in the log");
+    fixture.owner.commit_confirmed(fixture.now);
+    fixture.advance_ms(4000);
+    assert_eq!(fixture.removed_cancels.len(), 1);
+    // A repeated cancel changes nothing and is removed as well.
+    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.advance_ms(4000);
+    assert_eq!(fixture.removed_cancels.len(), 2);
+}
+
+#[test]
+fn a_cancel_that_is_read_before_its_job_is_removed_with_it() {
+    let mut fixture = OwnerFixture::new(vec![]);
+    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(4000);
+    assert_eq!(fixture.removed_cancels.len(), 1);
+}
+
 #[test]
 fn a_cancelled_start_uses_capacity_until_its_order_expires() {
     // Regression (bench cic-oriolewall trouble-3, LIMIT): a worker carried out a start order
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -43,8 +43,10 @@
     pub stops: Vec<RunKey>,
     /// Status requests: worker, last acknowledged end, time until which leases are renewed.
     pub status_requests: Vec<(InstanceId, u64, Option<u64>)>,
-    /// Jobs whose requests were removed from the log.
+    /// Jobs whose submissions were removed from the log.
     pub removed_requests: Vec<JobKey>,
+    /// Jobs whose cancellations were removed from the log.
+    pub removed_cancels: Vec<JobKey>,
     /// Orders to change the speed of a run, with the speed in percent.
     pub speed_orders: Vec<(RunKey, u32)>,
     /// Requests for advice with their candidate workers.
@@ -161,6 +163,7 @@
             stops: Vec::new(),
             status_requests: Vec::new(),
             removed_requests: Vec::new(),
+            removed_cancels: Vec::new(),
             speed_orders: Vec::new(),
             advice_requests: Vec::new(),
             commits: 0,
@@ -248,7 +251,10 @@
                 lease_until_ms,
                 ..
             } => self.status_requests.push((worker, ack_cursor, lease_until_ms)),
-            Action::RemoveRequests(ids) => self.removed_requests.extend(ids),
+            Action::RemoveRequests { submissions, cancels } => {
+                self.removed_requests.extend(submissions);
+                self.removed_cancels.extend(cancels);
+            }
             Action::SetSpeed { key, percent, .. } => self.speed_orders.push((key, percent)),
             Action::RequestAdvice { step, workers } => self.advice_requests.push((step, workers)),
             Action::LogDecision(_) => {}
