log: group commit of requests, aggregators and resends

Cause: each submission was one append to the one partition of its pool, and a partition takes its appends one at a time, 3 ms each. A lost answer of the log held up an owner's commit for 1.5 s. Change: requests that wait for a partition share its next append (append_queue); instances that find a partition crowded send theirs through three aggregators, until these report a calm rate (acceptance); a call to the log whose answer is overdue is sent again, within a budget (resend).

--- a/bench/src/measure.rs
+++ b/bench/src/measure.rs
@@ -3,11 +3,13 @@
 //! Scenarios run in one process and in virtual time. Memory and processing time
 //! are measured on the machine that runs them.
 //!
+//! - [`acceptance`]: acceptance of submissions at several arrival rates.
 //! - [`scenario`]: entry instances and workers under load and faults.
 //! - [`slope`]: size of the state, memory, processing time and messages at several
 //!   sizes of the fleet.
 //! - [`wave`]: maintenance waves over fleets of several sizes.
 
+pub mod acceptance;
 pub mod scenario;
 pub mod slope;
 pub mod wave;
@@ -72,6 +74,11 @@
         help: "more than five times what the fleet can run",
         run: scenario::overload,
     },
+    Scenario {
+        name: "acceptance",
+        help: "100 to 3000 submissions a second to one pool: accepted in time, and waits",
+        run: acceptance::run,
+    },
     Scenario {
         name: "wave",
         help: "a maintenance wave at 10, 100, 1000 and 18000 instances",
--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -13,6 +13,7 @@
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, StatusCode};
 use oriole_platform::caller;
+use oriolewall::acceptance::Route;
 use oriolewall::catalog::{Catalog, Queue};
 use oriolewall::id::TeamId;
 use oriolewall::job_record::{self, JobKey, Submission};
@@ -23,7 +24,7 @@
 
 use crate::node::Node;
 use crate::server::{self, HttpResponse};
-use crate::{clock, peer};
+use crate::{clock, peer, request_log, takeover};
 
 /// Maximum size of a request body, bytes. The platform has the same limit.
 const MAX_BODY_BYTES: usize = 262_144;
@@ -31,14 +32,12 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 /// Time reserved before the caller's deadline for the response to reach the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
-/// Time limit of one attempt to append a request to the log directly.
-const APPEND_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time limit of one attempt to append a request through another instance.
-const RELAY_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit of one attempt to append a request to the log.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time after which a request is refused if nothing can have taken effect yet. It
 /// stays below 150 ms, a quarter of the tightest objective.
 const REFUSE_AFTER: Duration = Duration::from_millis(120);
-/// Delay between two attempts.
+/// Mean delay between two attempts.
 const RETRY_DELAY: Duration = Duration::from_millis(30);
 /// Seconds after which a caller should retry a refused request, for `Retry-After`.
 const RETRY_AFTER_SECONDS: &str = "1";
@@ -206,67 +205,38 @@
     }
 }
 
-/// Appends a request to the log, alternating between direct attempts and attempts
-/// through another instance. Returns `Done` once the request is in the log,
+/// Appends a request to the log, alternating between the routes. Returns `Done` once the request is in the log,
 /// `Unavailable` if it certainly is not, and `Unknown` if it may be.
 async fn store_request(node: &Arc<Node>, part: PartitionId, id: &JobKey, request: job_record::Request, deadline: Instant) -> Reply {
     let refuse_at = Instant::now() + REFUSE_AFTER;
     let mut possibly_stored = false;
-    // Start with another instance if the log does not answer this one.
-    let mut append_directly = node.is_log_reachable();
-    let mut attempts = 0;
+    let mut route = request_log::choose_route(node, part);
+    let key = match &request {
+        job_record::Request::Submit(_) => id.to_string(),
+        job_record::Request::Cancel { .. } => takeover::cancel_key(id),
+    };
+    let record = (key, request_log::encode(&request));
     loop {
-        let remaining = deadline.saturating_duration_since(Instant::now()).min(APPEND_ATTEMPT_TIMEOUT);
-        let reply = match append_directly {
-            true => peer::append_request(node, part, id, &request, remaining).await,
-            false => relay_append(node, attempts, part, id, &request, remaining).await,
-        };
-        attempts += 1;
-        match reply {
+        let remaining = deadline.saturating_duration_since(Instant::now()).min(ATTEMPT_TIMEOUT);
+        match request_log::append(node, part, route, vec![record.clone()], remaining).await {
             Reply::Done => return Reply::Done,
             Reply::Unavailable | Reply::NotOwner => {}
             _ => possibly_stored = true,
         }
-        append_directly = !append_directly;
+        route = match route {
+            Route::Direct => Route::Aggregated,
+            Route::Aggregated => Route::Direct,
+        };
         let now = Instant::now();
         match possibly_stored {
             // Appending the same record twice is harmless.
             true if deadline <= now + RETRY_DELAY => return Reply::Unknown,
             false if refuse_at <= now + RETRY_DELAY => return Reply::Unavailable,
-            _ => tokio::time::sleep(RETRY_DELAY).await,
+            _ => tokio::time::sleep(RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>())).await,
         }
     }
 }
 
-/// Asks another instance to append a request, in case the log is unreachable from
-/// this instance only.
-async fn relay_append(
-    node: &Arc<Node>,
-    earlier_attempts: usize,
-    part: PartitionId,
-    id: &JobKey,
-    request: &job_record::Request,
-    timeout: Duration,
-) -> Reply {
-    let owners = node.owners.load_full();
-    let mut others: Vec<_> = owners.values().filter(|it| **it != node.settings.peer_addr).copied().collect();
-    others.sort();
-    others.dedup();
-    if others.is_empty() {
-        return Reply::Unavailable;
-    }
-    // Use another instance with each attempt, and start with different ones for
-    // different jobs.
-    let offset: usize = id.bytes().map(usize::from).sum();
-    let addr = others[(offset + earlier_attempts) % others.len()];
-    let call = Call::Append {
-        part,
-        id: id.clone(),
-        request: request.clone(),
-    };
-    peer::call_instance(node, addr, call, timeout.min(RELAY_ATTEMPT_TIMEOUT)).await
-}
-
 /// Responds with a job's state, retrying for a short time if it cannot be determined.
 async fn get_status(node: &Arc<Node>, target: &Target, id: &JobKey) -> HttpResponse {
     let refuse_at = Instant::now() + REFUSE_AFTER;
--- /dev/null
+++ b/fleet/src/log.rs
@@ -0,0 +1,179 @@
+//! Calls to the log, sent again when an answer is overdue.
+//!
+//! All calls are idempotent: an append with a position is carried out once, one without
+//! replaces the newest records of its keys by the same values, and the others are reads
+//! or renew a membership.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::task::Poll;
+use std::time::Duration;
+
+use oriole_platform::log::{AppendPosition, Entry, Error, GroupAssignment, LogClient, Partition, PartitionHolder, REQUESTS, ReadResult};
+use oriolewall::platform;
+use oriolewall::resend::{AnswerTimes, ResendBudget};
+use prometheus::IntCounterVec;
+use tokio::time::Instant;
+
+/// Most attempts of one call in flight.
+const MAX_ATTEMPTS: usize = 4;
+
+/// Client of the log that sends calls again.
+#[derive(Debug)]
+pub(crate) struct Log {
+    client: LogClient,
+    /// Pacing of appends of callers' requests by partition, as each partition has a queue of
+    /// its own in the log service; `None` for all other calls.
+    pacing: Mutex<HashMap<Option<Partition>, Pacing>>,
+    /// Overdue calls by outcome: `sent` again, or `denied` by the budget.
+    resends: IntCounterVec,
+}
+
+#[derive(Debug)]
+struct Pacing {
+    answer_times: AnswerTimes,
+    budget: ResendBudget,
+}
+
+type Attempt<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
+
+impl Log {
+    pub(crate) fn new(client: LogClient, resends: IntCounterVec) -> Log {
+        Log {
+            client,
+            pacing: Mutex::default(),
+            resends,
+        }
+    }
+
+    /// See [`LogClient::append`]. The timeout applies to all attempts together, here and below.
+    pub(crate) async fn append(
+        &self,
+        part: Partition,
+        position: Option<AppendPosition>,
+        entries: &[Entry],
+        timeout: Duration,
+    ) -> Result<(), Error> {
+        let pacing = Some(part).filter(|it| it.topic == REQUESTS);
+        self.call(pacing, timeout, |left| Box::pin(self.client.append(part, position, entries, left)))
+            .await
+    }
+
+    /// See [`LogClient::read_newest`].
+    pub(crate) async fn read_newest(&self, part: Partition, timeout: Duration) -> Result<ReadResult, Error> {
+        self.call(None, timeout, |left| Box::pin(self.client.read_newest(part, left))).await
+    }
+
+    /// See [`LogClient::read`]. A read that waits for records is sent once.
+    pub(crate) async fn read(&self, part: Partition, from: u64, wait: Duration, timeout: Duration) -> Result<ReadResult, Error> {
+        match wait.is_zero() {
+            true => {
+                self.call(None, timeout, |left| Box::pin(self.client.read(part, from, wait, left)))
+                    .await
+            }
+            false => self.client.read(part, from, wait, timeout).await,
+        }
+    }
+
+    /// See [`LogClient::join`].
+    pub(crate) async fn join(
+        &self,
+        group: &str,
+        member: &str,
+        ttl: Duration,
+        generation: u64,
+        timeout: Duration,
+    ) -> Result<GroupAssignment, Error> {
+        self.call(None, timeout, |left| {
+            Box::pin(self.client.join(group, member, ttl, generation, left))
+        })
+        .await
+    }
+
+    /// See [`LogClient::leave`].
+    pub(crate) async fn leave(&self, group: &str, member: &str, timeout: Duration) -> Result<(), Error> {
+        self.call(None, timeout, |left| Box::pin(self.client.leave(group, member, left)))
+            .await
+    }
+
+    /// See [`LogClient::owners`].
+    pub(crate) async fn owners(&self, group: &str, timeout: Duration) -> Result<Vec<PartitionHolder>, Error> {
+        self.call(None, timeout, |left| Box::pin(self.client.owners(group, left))).await
+    }
+
+    /// Makes a call and sends it again while its answer is overdue. Earlier attempts go on:
+    /// the first answer of any of them counts. `attempt` gets the time that is left.
+    async fn call<'a, T, F>(&'a self, pacing: Option<Partition>, timeout: Duration, mut attempt: F) -> Result<T, Error>
+    where
+        F: FnMut(Duration) -> Attempt<'a, T>,
+    {
+        let deadline = Instant::now() + timeout;
+        let mut overdue_after = self.with_pacing(pacing, |it| {
+            it.budget.record_call();
+            it.answer_times.overdue_after()
+        });
+        let mut attempts = vec![(Instant::now(), attempt(timeout))];
+        let mut lost = None;
+        let mut resend_at = Instant::now() + overdue_after;
+        loop {
+            let answer = tokio::select! {
+                answer = first_answer(&mut attempts) => answer,
+                () = tokio::time::sleep_until(resend_at), if attempts.len() < MAX_ATTEMPTS && resend_at < deadline => {
+                    overdue_after *= 2;
+                    resend_at = Instant::now() + overdue_after;
+                    let is_allowed = self.with_pacing(pacing, |it| it.budget.take());
+                    self.resends.with_label_values(&[if is_allowed { "sent" } else { "denied" }]).inc();
+                    if is_allowed {
+                        attempts.push((Instant::now(), attempt(deadline - Instant::now())));
+                    }
+                    continue;
+                }
+            };
+            let (sent, result) = answer;
+            match result {
+                Err(err @ Error::Call(platform::Error::Lost)) => lost = Some(err),
+                // The call may have taken effect if any of its attempts may.
+                Err(err @ Error::Call(_)) if attempts.is_empty() => return Err(lost.unwrap_or(err)),
+                Err(Error::Call(_)) => {}
+                result => {
+                    self.with_pacing(pacing, |it| it.answer_times.record(sent.elapsed()));
+                    return result;
+                }
+            }
+            if let Some(err) = lost.clone().filter(|_| attempts.is_empty()) {
+                return Err(err);
+            }
+        }
+    }
+
+    fn with_pacing<T, F>(&self, part: Option<Partition>, action: F) -> T
+    where
+        F: FnOnce(&mut Pacing) -> T,
+    {
+        let mut pacing = self.pacing.lock().unwrap_or_else(|it| it.into_inner());
+        let new_pacing = || Pacing {
+            answer_times: match part {
+                Some(_) => AnswerTimes::of_requests(),
+                None => AnswerTimes::default(),
+            },
+            budget: ResendBudget::default(),
+        };
+        action(pacing.entry(part).or_insert_with(new_pacing))
+    }
+}
+
+/// Waits for the first answer to any attempt, and removes that attempt.
+async fn first_answer<T>(attempts: &mut Vec<(Instant, Attempt<'_, T>)>) -> (Instant, Result<T, Error>) {
+    std::future::poll_fn(|context| {
+        for index in 0..attempts.len() {
+            if let Poll::Ready(result) = attempts[index].1.as_mut().poll(context) {
+                let (sent, _) = attempts.swap_remove(index);
+                return Poll::Ready((sent, result));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -13,6 +13,9 @@
 /// the 3 s default deadline of a caller.
 const LATENCY_BUCKETS: &[f64] = &[0.003, 0.006, 0.012, 0.025, 0.05, 0.1, 0.25, 0.6, 1.5, 3.0];
 
+/// Upper bounds of the buckets for the number of requests in one append.
+const BATCH_BUCKETS: &[f64] = &[1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0, 256.0];
+
 /// Metrics of one process. The gauges are set from the node's state when the metrics
 /// are served.
 #[derive(Debug)]
@@ -24,6 +27,12 @@
     pub(crate) accept_seconds: Histogram,
     /// Time of an owner's commit to the log, including retries.
     pub(crate) commit_seconds: Histogram,
+    /// Time of an append of callers' requests.
+    pub(crate) append_seconds: Histogram,
+    /// Number of requests in one append, or in one call to an aggregator.
+    pub(crate) append_records: Histogram,
+    /// Calls to the log with an overdue answer, by whether they were sent again.
+    pub(crate) log_resends: IntCounterVec,
     /// Time of an owner's takeover, from before it sets the epoch until its scheduler is
     /// restored.
     pub(crate) takeover_seconds: Histogram,
@@ -54,6 +63,9 @@
             registry.register(Box::new(metric.clone())).expect("metric names differ");
             metric
         };
+        let record_counts = HistogramOpts::new("oriole_append_records", "Requests in one append").buckets(BATCH_BUCKETS.to_vec());
+        let append_records = Histogram::with_opts(record_counts).expect("metric names are valid");
+        registry.register(Box::new(append_records.clone())).expect("metric names differ");
         let gauge = |name: &str, help: &str| {
             let metric = IntGauge::new(name, help).expect("metric names are valid");
             registry.register(Box::new(metric.clone())).expect("metric names differ");
@@ -65,6 +77,9 @@
             requests: counter_vec("oriole_requests_total", "Callers' requests", &["call", "status"]),
             accept_seconds: histogram("oriole_accept_seconds", "Time to accept a job"),
             commit_seconds: histogram("oriole_commit_seconds", "Time of an owner's commit"),
+            append_seconds: histogram("oriole_append_seconds", "Time of an append of requests"),
+            append_records,
+            log_resends: counter_vec("oriole_log_resends_total", "Overdue calls to the log", &["outcome"]),
             takeover_seconds: histogram("oriole_takeover_seconds", "Time of a takeover"),
             orders: counter_vec("oriole_orders_total", "Orders to workers", &["order", "answer"]),
             run_ends: counter_vec("oriole_run_ends_total", "Ends of runs", &["how"]),
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -17,8 +17,10 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::coordinator::CoordinatorState;
+use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::owner::Event;
+use crate::request_log::RequestLog;
 use crate::settings::{PlatformBounds, Settings};
 use crate::{clock, decision_log};
 
@@ -54,7 +56,8 @@
     pub(crate) bounds: ArcSwap<PlatformBounds>,
     /// Name of this process in the group of owners: its peer address and start time.
     pub(crate) member: String,
-    pub(crate) log: LogClient,
+    pub(crate) log: Log,
+    pub(crate) request_log: RequestLog,
     pub(crate) advice_client: Option<AdviceClient>,
     pub(crate) decision_log: decision_log::DecisionLog,
     pub(crate) metrics: Metrics,
@@ -97,11 +100,13 @@
 impl Node {
     pub(crate) fn new(settings: Settings) -> Node {
         let member = format!("{}@{}", settings.peer_addr, clock::now().wall_ms());
+        let metrics = Metrics::new();
         Node {
-            log: LogClient::new(settings.log_addr),
+            log: Log::new(LogClient::new(settings.log_addr), metrics.log_resends.clone()),
+            request_log: RequestLog::default(),
             advice_client: settings.advice_addr.map(AdviceClient::new),
             decision_log: decision_log::DecisionLog::start(settings.name.clone()),
-            metrics: Metrics::new(),
+            metrics,
             catalog: ArcSwap::from_pointee(Catalog::default()),
             catalog_changes: watch::Sender::new(0),
             workers: ArcSwap::from_pointee(HashMap::new()),
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -9,22 +9,18 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use oriole_daemon::client;
-use oriole_platform::log::{Entry, Error, Partition, REQUESTS};
-use oriolewall::job_record::{self, JobKey};
 use oriolewall::platform;
 use oriolewall::rpc::{Call, PartitionId, Reply};
 
 use crate::node::Node;
 use crate::owner::{self, Event};
 use crate::server::{self, HttpResponse};
-use crate::{coordinator, takeover, watch};
+use crate::{coordinator, request_log};
 
 /// Time limit of a call. It is short because an owner answers from memory.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time limit of an append on behalf of another instance.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Maximum size of a call's body, bytes. A job of 4,096 tasks in few steps takes far less.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Maximum size of a call's body, bytes. The largest hold a batch of requests of 1 MiB.
+const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
 
 /// Calls the owner of a partition, in this process or over HTTP. If the owner is not
 /// known or may have changed, a new read of the owners is requested.
@@ -79,38 +75,7 @@
         Call::Pending { part, queue } => owner::call_local(node, part, |reply| Event::PendingQuery(queue, reply)).await,
         Call::Vacate { part, worker, wait } => owner::call_local(node, part, |reply| Event::VacateRequest(worker, wait, reply)).await,
         Call::Loads { part } => owner::call_local(node, part, Event::LoadsQuery).await,
-        Call::Append { part, id, request } => append_request(node, part, &id, &request, APPEND_TIMEOUT).await,
+        Call::AppendRecords { part, records } => request_log::handle_call(node, part, records).await,
         Call::Report(report) => coordinator::handle_report(node, report),
     }
 }
-
-/// Appends a caller's request to the log. The reply is `Done` once it is stored,
-/// `Unknown` if it may have been stored, and `Unavailable` if it certainly was not.
-pub(crate) async fn append_request(node: &Node, part: PartitionId, id: &JobKey, request: &job_record::Request, timeout: Duration) -> Reply {
-    let key = match request {
-        job_record::Request::Submit(_) => id.to_string(),
-        job_record::Request::Cancel { .. } => takeover::cancel_key(id),
-    };
-    let value = rmp_serde::to_vec(request).expect("requests can be encoded");
-    let entry = Entry {
-        key,
-        value: Some(Bytes::from(value)),
-    };
-    let partition = Partition {
-        topic: REQUESTS,
-        number: part,
-    };
-    match node.log.append(partition, None, &[entry], timeout).await {
-        Ok(()) => {
-            watch::report_log_answer(node, true);
-            Reply::Done
-        }
-        Err(err) => {
-            watch::report_log_error(node, "append", &err);
-            match err {
-                Error::Call(platform::Error::Lost) | Error::UnexpectedResponse { .. } => Reply::Unknown,
-                _ => Reply::Unavailable,
-            }
-        }
-    }
-}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,14 +44,19 @@
 //! - [`query`]: read-only queries on an owner's state.
 //! - [`quota`]: division of teams' caps among owners.
 //! - [`silent_worker`]: log records of workers that do not answer.
+//! - [`acceptance`]: routes of callers' requests to the log.
+//! - [`append_queue`]: requests that share an append to the log.
+//! - [`resend`]: when a call to the log is sent again.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
 //! - [`rpc`]: calls between entry instances that own partitions of the log.
 
+pub mod acceptance;
 mod admission;
 mod adopt;
 pub mod advice;
 mod allotment;
+pub mod append_queue;
 pub mod balance;
 pub mod catalog;
 pub mod clock;
@@ -83,6 +88,7 @@
 pub mod record;
 mod recovery;
 pub mod replica;
+pub mod resend;
 pub mod resources;
 pub mod rpc;
 pub mod scheduler;
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -5,16 +5,19 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::balance::PoolLoad;
 use crate::id::{InstanceId, PoolId, TeamId};
-use crate::job_record::{JobKey, QueueId, Request};
+use crate::job_record::{JobKey, QueueId};
 use crate::query::{JobStatus, TeamDemand};
 use crate::resources::Resources;
 
 /// Number of a partition of the log. All jobs of a pool are in one partition.
 pub type PartitionId = u32;
+/// Key and encoded value of a caller's request in the log.
+pub type RequestRecord = (String, Bytes);
 
 /// A call to another entry instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,14 +36,12 @@
         /// Name of the queue.
         queue: QueueId,
     },
-    /// Appends a caller's request on behalf of an instance that cannot append to the log.
-    Append {
-        /// Partition of the job's pool.
+    /// Appends callers' requests on behalf of another instance.
+    AppendRecords {
+        /// Partition of the jobs' pool.
         part: PartitionId,
-        /// Key of the job.
-        id: JobKey,
-        /// Request of the caller.
-        request: Request,
+        /// The requests.
+        records: Vec<RequestRecord>,
     },
     /// Empties a worker for maintenance or a move to another pool.
     Vacate {
@@ -85,6 +86,9 @@
     Pending(u64),
     /// The request was carried out.
     Done,
+    /// The records were appended. The number is that of the requests that the aggregator
+    /// appends to the partition per second.
+    Appended(u64),
     /// Whether the worker has no runs.
     Vacant(bool),
     /// CPU reserved by finite tasks, by worker, millicores.
