scheduler: processor time of an owner no longer grows with its workers

Cause: an owner polled its scheduler at each event, thousands of times a second in a turn, and each poll visited all workers; each placement searched all workers; each eviction counted all runs anew for each long-running task. Change: at most one poll in 4 ms; candidates for placement are kept by free CPU; tasks at work are counted once for each eviction pass; demand of teams and zones of idle instances are counted without building keys.

--- a/bench/src/measure.rs
+++ b/bench/src/measure.rs
@@ -4,12 +4,14 @@
 //! are measured on the machine that runs them.
 //!
 //! - [`acceptance`]: acceptance of submissions at several arrival rates.
+//! - [`owner`]: processor time of a pool's owner.
 //! - [`scenario`]: entry instances and workers under load and faults.
 //! - [`slope`]: size of the state, memory, processing time and messages at several
 //!   sizes of the fleet.
 //! - [`wave`]: maintenance waves over fleets of several sizes.
 
 pub mod acceptance;
+pub mod owner;
 pub mod scenario;
 pub mod slope;
 pub mod wave;
@@ -79,6 +81,11 @@
         help: "100 to 3000 submissions a second to one pool: accepted in time, and waits",
         run: acceptance::run,
     },
+    Scenario {
+        name: "owner",
+        help: "processor time of a pool's owner with 200 to 800 workers, also with too much work",
+        run: owner::run,
+    },
     Scenario {
         name: "wave",
         help: "a maintenance wave at 10, 100, 1000 and 18000 instances",
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -36,6 +36,8 @@
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Delay after a failed call to the log.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Minimum time between two polls of the scheduler.
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(4);
 /// Time without a successful read of requests after which an owner no longer answers
 /// that a job does not exist.
 const MAX_REQUESTS_AGE: Duration = Duration::from_millis(4500);
@@ -179,9 +181,13 @@
 impl Owner {
     /// Handles events and executes the scheduler's actions until the ownership ends.
     async fn run_event_loop(&mut self, mut receiver: mpsc::UnboundedReceiver<Event>) {
+        let mut last_poll = Duration::ZERO;
         loop {
             let now = clock::now();
             let until_next_poll = self.scheduler.next_poll(now).saturating_sub(now.mono);
+            // Under load events come faster than every `MIN_POLL_INTERVAL`; a poll visits all
+            // workers, so it handles them together.
+            tokio::time::sleep((last_poll + MIN_POLL_INTERVAL).saturating_sub(now.mono)).await;
             let event = tokio::time::timeout(until_next_poll, receiver.recv()).await;
             match event {
                 Ok(Some(event)) => self.handle_event(event),
@@ -191,6 +197,7 @@
             while let Ok(event) = receiver.try_recv() {
                 self.handle_event(event);
             }
+            last_poll = clock::now().mono;
             // Ownership ends when the group assigns the partition elsewhere or a later owner
             // fences this one.
             if self.scheduler.is_fenced() || !still_owned(&self.node, self.part, self.epoch) {
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -183,8 +183,9 @@
             let mut spare: Vec<&Instance> = members.iter().copied().filter(|it| is_idle(it)).collect();
             spare.retain(|it| !self.ordered.contains_key(&it.name));
             // Instances are taken from the end, so the zone with the most of them gives first.
-            let in_zone = |zone: &ZoneId| members.iter().filter(|it| it.zone == *zone).count();
-            spare.sort_by_key(|it| (in_zone(&it.zone), it.name.clone()));
+            let mut in_zone: HashMap<&ZoneId, usize> = HashMap::new();
+            members.iter().for_each(|it| *in_zone.entry(&it.zone).or_default() += 1);
+            spare.sort_by_key(|it| (in_zone[&it.zone], it.name.clone()));
             pools.insert(
                 name.clone(),
                 PlannedPool {
--- /dev/null
+++ b/lib/src/candidate.rs
@@ -0,0 +1,57 @@
+//! Workers that may take new tasks, by pool and free CPU.
+//!
+//! Load pattern: in its turn a queue starts thousands of tasks a second on a thousand
+//! workers, most of which are full. A search through all workers for each task takes most
+//! of the owner's processor time then; here the fullest worker with enough room is found
+//! first.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use crate::id::{InstanceId, PoolId};
+use crate::worker::Worker;
+
+/// Workers in ascending order of free CPU, by pool. Rebuilt for each placement pass.
+#[derive(Debug, Default)]
+pub(crate) struct Candidates {
+    by_pool: HashMap<PoolId, BTreeSet<(u64, InstanceId)>>,
+}
+
+impl Candidates {
+    /// Collects the workers that accept work now.
+    pub(crate) fn collect<'a, I>(now: Duration, workers: I) -> Candidates
+    where
+        I: IntoIterator<Item = &'a Worker>,
+    {
+        let mut candidates = Candidates::default();
+        for worker in workers.into_iter().filter(|it| it.accepts_work(now)) {
+            candidates.insert(worker);
+        }
+        candidates
+    }
+
+    /// Adds a worker with its present free CPU.
+    pub(crate) fn insert(&mut self, worker: &Worker) {
+        let pool = self.by_pool.entry(worker.listed.pool.clone()).or_default();
+        pool.insert((free_cpu(worker), worker.listed.id.clone()));
+    }
+
+    /// Removes a worker whose free CPU has not changed since it was added.
+    pub(crate) fn remove(&mut self, worker: &Worker) {
+        if let Some(pool) = self.by_pool.get_mut(&worker.listed.pool) {
+            pool.remove(&(free_cpu(worker), worker.listed.id.clone()));
+        }
+    }
+
+    /// Workers of a pool with at least this much free CPU, millicores, the fullest first.
+    pub(crate) fn with_free_cpu(&self, pool: &PoolId, cpu: u64) -> impl Iterator<Item = &InstanceId> {
+        let workers = self.by_pool.get(pool).into_iter();
+        workers
+            .flat_map(move |it| it.range((cpu, InstanceId::from(""))..))
+            .map(|(_, id)| id)
+    }
+}
+
+fn free_cpu(worker: &Worker) -> u64 {
+    worker.listed.capacity.remaining_after(&worker.used).cpu
+}
--- a/lib/src/eviction.rs
+++ b/lib/src/eviction.rs
@@ -1,7 +1,9 @@
 //! Eviction of tasks from workers that leave, change pools or go into maintenance.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::advice::StepKey;
 use crate::clock::Now;
 use crate::decision::Decision;
 use crate::id::InstanceId;
@@ -20,6 +22,10 @@
     pub(crate) fn evict(&mut self, now: Now) {
         let must_empty = |it: &&Worker| now.mono < it.vacate_until || it.listed.draining;
         let workers: Vec<InstanceId> = self.workers.values().filter(must_empty).map(|it| it.listed.id.clone()).collect();
+        let mut at_work = match workers.is_empty() {
+            true => HashMap::new(),
+            false => self.long_running_tasks_at_work(),
+        };
         for id in workers {
             let worker = &self.workers[&id];
             let overdue = now.mono < worker.vacate_until && worker.vacate_since + GRACE_PERIOD < now.mono;
@@ -30,28 +36,45 @@
                     continue;
                 };
                 let lasting = tracked.record.step(key.task.step).lasting;
-                if lasting && self.may_interrupt(&key.task) && self.choose_worker(now, &key.task).is_some() || !lasting && overdue {
+                if lasting && self.may_interrupt(&id, &key, &at_work) && self.choose_worker(now, &key.task).is_some() {
+                    if self.is_at_work(&id, &key) {
+                        at_work.entry(step_key(&key.task)).and_modify(|it| *it -= 1);
+                    }
+                    self.interrupt(&id, &key);
+                } else if !lasting && overdue {
                     self.interrupt(&id, &key);
                 }
             }
         }
     }
 
+    /// Number of tasks of each long-running step that are confirmed at work.
+    fn long_running_tasks_at_work(&self) -> HashMap<StepKey, u32> {
+        let mut at_work = HashMap::new();
+        for worker in self.workers.values() {
+            for (key, run) in &worker.runs {
+                let tracked = self.jobs.get(&key.task.job);
+                let is_lasting = tracked.is_some_and(|it| it.record.step(key.task.step).lasting);
+                if is_lasting && worker.is_confirmed_at_work(run, self.limits.stop_time) {
+                    *at_work.entry(step_key(&key.task)).or_default() += 1;
+                }
+            }
+        }
+        at_work
+    }
+
+    fn is_at_work(&self, id: &InstanceId, key: &RunKey) -> bool {
+        let worker = &self.workers[id];
+        let run = worker.runs.get(key);
+        run.is_some_and(|it| worker.is_confirmed_at_work(it, self.limits.stop_time))
+    }
+
     /// Whether enough other tasks of a long-running step are confirmed at work to interrupt
     /// this one.
-    fn may_interrupt(&self, task: &TaskKey) -> bool {
-        let step = self.jobs[&task.job].record.step(task.step);
-        let is_other = |key: &RunKey| {
-            let same = key.task.job == task.job && key.task.turn == task.turn && key.task.step == task.step;
-            same && key.task.index != task.index
-        };
-        let count_at_work = |it: &Worker| {
-            let others = it.runs.iter().filter(|(key, _)| is_other(key));
-            others
-                .filter(|(_, run)| it.is_confirmed_at_work(run, self.limits.stop_time))
-                .count() as u32
-        };
-        let others: u32 = self.workers.values().map(count_at_work).sum();
+    fn may_interrupt(&self, id: &InstanceId, key: &RunKey, at_work: &HashMap<StepKey, u32>) -> bool {
+        let step = self.jobs[&key.task.job].record.step(key.task.step);
+        let own = u32::from(self.is_at_work(id, key));
+        let others = at_work.get(&step_key(&key.task)).copied().unwrap_or(0).saturating_sub(own);
         let missing = (step.count - 1).saturating_sub(others);
         missing < step.optional.max(1)
     }
@@ -70,3 +93,7 @@
         });
     }
 }
+
+fn step_key(task: &TaskKey) -> StepKey {
+    (task.job.clone(), task.turn, task.step)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -58,6 +58,7 @@
 mod allotment;
 pub mod append_queue;
 pub mod balance;
+mod candidate;
 pub mod catalog;
 pub mod clock;
 mod commit;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -4,7 +4,6 @@
 //! that has room and meets its constraints, within the limit of its team; the
 //! start order is sent once the placement is in the log.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::clock::Now;
@@ -198,21 +197,22 @@
         if !team.is_empty() && !step.need.fits(&used, &self.team_limit(team)) {
             return None;
         }
-        let fits = |it: &&Worker| self.can_run(now, it, record, step, task);
-        let workers = self.workers.values().filter(fits);
         let rack = self.preferred_rack(step, task);
-        let best = workers.max_by_key(|it| {
-            let is_preferred_rack = rack.as_ref().is_none_or(|rack| it.listed.rack == *rack);
-            // Fill up busy workers first, so that idle instances can move to other pools.
-            let free_cpu = it.listed.capacity.remaining_after(&it.used).cpu;
-            (
-                !it.is_quarantined(now.mono),
-                is_preferred_rack,
-                Reverse(free_cpu),
-                Reverse(it.listed.id.clone()),
-            )
-        })?;
-        Some(best.listed.id.clone())
+        // Fill up busy workers first, so that idle instances can move to other pools.
+        let fullest_first = self.candidates.with_free_cpu(&record.submission.pool, step.reserved().cpu);
+        let mut best: Option<((bool, bool), &InstanceId)> = None;
+        for worker in fullest_first.filter_map(|id| self.workers.get(id)) {
+            let is_preferred_rack = rack.as_ref().is_none_or(|rack| worker.listed.rack == *rack);
+            let suitability = (!worker.is_quarantined(now.mono), is_preferred_rack);
+            if best.is_some_and(|(it, _)| suitability <= it) || !self.can_run(now, worker, record, step, task) {
+                continue;
+            }
+            best = Some((suitability, &worker.listed.id));
+            if suitability == (true, true) {
+                break;
+            }
+        }
+        best.map(|(_, id)| id.clone())
     }
 
     /// Returns the rack on which a step should run: the rack of its data; otherwise, for tasks
@@ -264,7 +264,9 @@
         let free_cpu = worker.listed.capacity.remaining_after(&worker.used).cpu;
         let key = RunKey { task: task.clone(), run };
         let intended = Run::new(RunPhase::Intended, team.clone(), reserved, need, now.mono);
+        self.candidates.remove(worker);
         worker.add(key.clone(), intended);
+        self.candidates.insert(worker);
         *self.usage.entry(team).or_default() += need;
         self.pending_starts.push((id.clone(), key));
         self.mark_dirty(&task.job);
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -9,7 +9,7 @@
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::job_record::{JobKey, JobPhase, QueueId, TaskState};
 use crate::resources::Resources;
-use crate::scheduler::{Scheduler, task_keys};
+use crate::scheduler::Scheduler;
 use crate::worker::{RunKey, Worker};
 
 /// Resources that a team uses and waits for in an owner's pools.
@@ -104,9 +104,11 @@
         for id in &self.open_jobs {
             let record = &self.jobs[id].record;
             let team_demand = demand.entry(record.submission.team.clone()).or_default();
-            for (task, position) in task_keys(id, record) {
-                if record.tasks[position].state == TaskState::Waiting {
-                    team_demand.wanted += record.step(task.step).need;
+            for turn in 0..record.spec().occurrences() {
+                for (index, step) in record.spec().steps.iter().enumerate() {
+                    let tasks = record.step_tasks(turn, index).iter();
+                    let waiting = tasks.filter(|it| it.state == TaskState::Waiting).count();
+                    team_demand.wanted += step.need.times(waiting as u64);
                 }
             }
         }
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use crate::advice::{StepAdvice, StepKey};
+use crate::candidate::Candidates;
 use crate::catalog::{Catalog, Queue};
 use crate::clock::Now;
 use crate::commit::Batch;
@@ -100,6 +101,8 @@
     pub(crate) jobs: HashMap<JobKey, TrackedJob>,
     pub(crate) open_jobs: BTreeSet<JobKey>,
     pub(crate) workers: HashMap<InstanceId, Worker>,
+    /// Workers for the tasks of the current placement pass.
+    pub(crate) candidates: Candidates,
     /// Resources that each team's runs may be using, counted against its cap.
     pub(crate) usage: HashMap<TeamId, Resources>,
     /// Share of each team's cap that is granted to this owner.
@@ -145,6 +148,7 @@
             jobs: HashMap::new(),
             open_jobs: BTreeSet::new(),
             workers: HashMap::new(),
+            candidates: Candidates::default(),
             usage: HashMap::new(),
             grants: HashMap::new(),
             early_cancels: HashSet::new(),
@@ -378,6 +382,7 @@
         self.expire_leases(now);
         // Placements take effect with the next commit, so making them earlier gains nothing.
         if self.can_commit(now) {
+            self.candidates = Candidates::collect(now.mono, self.workers.values());
             self.evict(now);
             self.place_waiting_tasks(now);
         }
