balance: a pool grows with the trend of its arrivals

Cause: a queue's demand rises for two to three seconds and a move takes two, but pools followed the present rate, smoothed over 0.7 s. Jobs of the rise were late, and of two jobs that can't meet their objective the older went first, even when it could not end in time to be of use. Change: forecast of the rate two seconds ahead from two averages, used while the rise stands out from random variation; jobs that can still end within three objectives go before those that cannot.

--- a/bench/src/measure/acceptance.rs
+++ b/bench/src/measure/acceptance.rs
@@ -118,7 +118,7 @@
 impl Instance {
     fn new() -> Instance {
         Instance {
-            rate: ArrivalRate::default(),
+            rate: ArrivalRate::new(Duration::from_millis(700)),
             appending: (Duration::ZERO, Vec::new()),
             relaying: Vec::new(),
             router: Router::default(),
--- a/fleet/src/request_log.rs
+++ b/fleet/src/request_log.rs
@@ -23,6 +23,8 @@
 /// Time limit of a call to an aggregator.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time constant of the rate of requests that an aggregator reports.
+const RATE_TIME_CONSTANT: Duration = Duration::from_millis(700);
 /// Weight of a request in [`ArrivalRate`], which counts per millisecond.
 const REQUEST_WEIGHT: u64 = 1000;
 
@@ -42,13 +44,22 @@
 }
 
 /// What this instance has seen of a partition of requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct PartitionState {
     router: Router,
     /// Requests per second that this instance appends directly.
     rate: ArrivalRate,
 }
 
+impl Default for PartitionState {
+    fn default() -> PartitionState {
+        PartitionState {
+            router: Router::default(),
+            rate: ArrivalRate::new(RATE_TIME_CONSTANT),
+        }
+    }
+}
+
 /// Queues of callers' requests by partition and route.
 #[derive(Debug, Default)]
 pub(crate) struct RequestLog {
--- a/lib/src/estimate.rs
+++ b/lib/src/estimate.rs
@@ -41,32 +41,37 @@
     }
 }
 
-/// Time constant of the exponential average of arrivals. Demand shifts every few
-/// seconds, so a much longer time would lag behind; a shorter one would follow single
-/// large jobs.
-const ARRIVAL_TIME_CONSTANT: Duration = Duration::from_millis(700);
-
 /// Rate at which work arrives, as an exponentially weighted average.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct ArrivalRate {
+    time_constant: Duration,
     rate: f64,
     updated_at: Duration,
 }
 
 impl ArrivalRate {
-    /// Adds work that arrived at `now`, in millicores times milliseconds.
+    /// Creates an average with a time constant.
+    pub fn new(time_constant: Duration) -> ArrivalRate {
+        ArrivalRate {
+            time_constant,
+            rate: 0.0,
+            updated_at: Duration::ZERO,
+        }
+    }
+
+    /// Adds work that arrived at `now`, in the unit of the rate times milliseconds.
     pub fn record(&mut self, now: Duration, work: u64) {
-        self.rate = self.decayed_rate(now) + work as f64 / ARRIVAL_TIME_CONSTANT.as_millis() as f64;
+        self.rate = self.decayed_rate(now) + work as f64 / self.time_constant.as_millis() as f64;
         self.updated_at = now;
     }
 
-    /// Rate at `now`, in millicores.
+    /// Rate at `now`.
     pub fn rate(&self, now: Duration) -> u64 {
         self.decayed_rate(now) as u64
     }
 
     fn decayed_rate(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated_at).as_secs_f64() / ARRIVAL_TIME_CONSTANT.as_secs_f64();
+        let age = now.saturating_sub(self.updated_at).as_secs_f64() / self.time_constant.as_secs_f64();
         self.rate * (-age).exp()
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -47,6 +47,7 @@
 //! - [`acceptance`]: routes of callers' requests to the log.
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
+//! - [`forecast`]: work that will arrive for a pool.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
 //! - [`rpc`]: calls between entry instances that own partitions of the log.
@@ -70,6 +71,7 @@
 pub mod event;
 mod eviction;
 pub mod fleet;
+pub mod forecast;
 pub mod health;
 pub mod id;
 pub mod job;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -30,9 +30,10 @@
     LongRunning,
     /// Can still meet its objective.
     InTime,
-    /// Can no longer meet its objective, but is not older than three times the objective.
+    /// Can no longer meet its objective, but may end within three times that time, which is
+    /// still of use to callers.
     Late,
-    /// Is older than three times its objective.
+    /// Will take longer than that.
     Overdue,
 }
 
@@ -70,11 +71,12 @@
                 false => record.submission.received_ms,
             };
             let age = now_ms as i64 - age_from_ms as i64;
-            let slack = objective - age - remaining_ms(record) as i64;
+            let remaining = remaining_ms(record) as i64;
+            let slack = objective - age - remaining;
             let urgency = match () {
                 () if record.spec().is_long_running() => Urgency::LongRunning,
                 () if MIN_SLACK_FRACTION * objective as f64 <= slack as f64 => Urgency::InTime,
-                () if age <= 3 * objective => Urgency::Late,
+                () if age + remaining <= 3 * objective => Urgency::Late,
                 () => Urgency::Overdue,
             };
             // While there is more work than room, placing small jobs first meets most objectives.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -17,7 +17,7 @@
 use crate::clock::Now;
 use crate::commit::Batch;
 use crate::decision::Decision;
-use crate::estimate::ArrivalRate;
+use crate::forecast::Forecast;
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::job_record::{JobKey, JobPhase, JobRecord, Request, TaskKey, TaskState};
 use crate::order::Action;
@@ -123,7 +123,7 @@
     /// from the log. One that was not read has to stay for the next owner.
     pub(crate) processed_cancels: Vec<JobKey>,
     pub(crate) last_cleanup: Duration,
-    pub(crate) arrivals: HashMap<PoolId, ArrivalRate>,
+    pub(crate) arrivals: HashMap<PoolId, Forecast>,
     pub(crate) advice: HashMap<StepKey, StepAdvice>,
     /// When all runs end on workers that an earlier owner recorded as silent.
     pub(crate) silent_until: HashMap<InstanceId, Duration>,
