--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -54,6 +54,14 @@
     deadline: Instant,
 }
 
+impl Target {
+    /// Team whose jobs the caller may read and cancel; `None` if it may do so with all jobs of
+    /// a public queue.
+    fn visible_team(&self) -> Option<TeamId> {
+        Some(self.team.clone()).filter(|_| !self.queue.is_public)
+    }
+}
+
 /// Handles a caller's request, and records it in the metrics and the decision log.
 pub(crate) async fn handle_request(node: &Arc<Node>, request: Request<Incoming>) -> HttpResponse {
     let _open = node.open_request();
@@ -171,6 +179,7 @@
         let call = Call::Status {
             part: node.partition_of(pool),
             id: id.clone(),
+            team: target.visible_team(),
         };
         if let Reply::Status(Some(status)) = peer::call(node, node.partition_of(pool), call).await {
             return server::json_response(StatusCode::OK, caller::status_body(status));
@@ -194,6 +203,7 @@
     };
     let request = job_record::Request::Cancel {
         at_ms: clock::now().wall_ms(),
+        team: target.visible_team(),
     };
     match store_request(node, part, id, request, target.deadline).await {
         Reply::Done => server::json_response(StatusCode::OK, caller::status_body(JobStatus::Cancelled)),
@@ -273,7 +283,11 @@
     parts.dedup();
     let mut unknown = false;
     for part in parts {
-        let call = Call::Status { part, id: id.clone() };
+        let call = Call::Status {
+            part,
+            id: id.clone(),
+            team: target.visible_team(),
+        };
         match peer::call(node, part, call).await {
             Reply::Status(Some(status)) => return JobLocation::Found(part, status),
             Reply::Status(None) => {}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -12,7 +12,7 @@
 //! - `group`: group membership, which decides the partitions that this instance owns.
 //! - `owner`: runs the scheduler of an owned partition.
 //! - `takeover`: restores the scheduler of a partition from the log.
-//! - `log`: calls to the log, sent again when an answer is overdue.
+//! - [`log`]: calls to the log, sent again when an answer is overdue.
 //! - `request_log`: appends callers' requests to the log, many in one append.
 //! - `caller_api`: HTTP API for callers.
 //! - `peer`: calls between entry instances.
@@ -27,7 +27,7 @@
 mod coordinator;
 mod decision_log;
 mod group;
-mod log;
+pub mod log;
 mod maintenance;
 mod metrics;
 mod node;
--- a/fleet/src/log.rs
+++ b/fleet/src/log.rs
@@ -22,7 +22,7 @@
 
 /// Client of the log that sends calls again.
 #[derive(Debug)]
-pub(crate) struct Log {
+pub struct Log {
     client: LogClient,
     /// Pacing of appends of callers' requests by partition, as each partition has a queue of
     /// its own in the log service; `None` for all other calls.
@@ -40,7 +40,9 @@
 type Attempt<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
 
 impl Log {
-    pub(crate) fn new(client: LogClient, resends: IntCounterVec) -> Log {
+    /// Creates a client. `resends` counts overdue calls by outcome: `sent` again, or `denied`
+    /// by the budget.
+    pub fn new(client: LogClient, resends: IntCounterVec) -> Log {
         Log {
             client,
             pacing: Mutex::default(),
@@ -49,7 +51,7 @@
     }
 
     /// See [`LogClient::append`]. The timeout applies to all attempts together, here and below.
-    pub(crate) async fn append(
+    pub async fn append(
         &self,
         part: Partition,
         position: Option<AppendPosition>,
@@ -62,12 +64,12 @@
     }
 
     /// See [`LogClient::read_newest`].
-    pub(crate) async fn read_newest(&self, part: Partition, timeout: Duration) -> Result<ReadResult, Error> {
+    pub async fn read_newest(&self, part: Partition, timeout: Duration) -> Result<ReadResult, Error> {
         self.call(None, timeout, |left| Box::pin(self.client.read_newest(part, left))).await
     }
 
     /// See [`LogClient::read`]. A read that waits for records is sent once.
-    pub(crate) async fn read(&self, part: Partition, from: u64, wait: Duration, timeout: Duration) -> Result<ReadResult, Error> {
+    pub async fn read(&self, part: Partition, from: u64, wait: Duration, timeout: Duration) -> Result<ReadResult, Error> {
         match wait.is_zero() {
             true => {
                 self.call(None, timeout, |left| Box::pin(self.client.read(part, from, wait, left)))
@@ -78,7 +80,7 @@
     }
 
     /// See [`LogClient::join`].
-    pub(crate) async fn join(
+    pub async fn join(
         &self,
         group: &str,
         member: &str,
@@ -93,13 +95,13 @@
     }
 
     /// See [`LogClient::leave`].
-    pub(crate) async fn leave(&self, group: &str, member: &str, timeout: Duration) -> Result<(), Error> {
+    pub async fn leave(&self, group: &str, member: &str, timeout: Duration) -> Result<(), Error> {
         self.call(None, timeout, |left| Box::pin(self.client.leave(group, member, left)))
             .await
     }
 
     /// See [`LogClient::owners`].
-    pub(crate) async fn owners(&self, group: &str, timeout: Duration) -> Result<Vec<PartitionHolder>, Error> {
+    pub async fn owners(&self, group: &str, timeout: Duration) -> Result<Vec<PartitionHolder>, Error> {
         self.call(None, timeout, |left| Box::pin(self.client.owners(group, left))).await
     }
 
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -76,8 +76,8 @@
     /// The coordinator's answer to a report sent at this monotonic time: what each team
     /// may have running in this partition.
     GrantsReceived(Duration, HashMap<TeamId, Resources>),
-    /// Query for the state of a job.
-    StatusQuery(JobKey, oneshot::Sender<Reply>),
+    /// Query for the state of a job by a team; `None` for a public queue.
+    StatusQuery(JobKey, Option<TeamId>, oneshot::Sender<Reply>),
     /// Query for the number of waiting jobs of a queue.
     PendingQuery(QueueId, oneshot::Sender<Reply>),
     /// Query for the CPU that finite tasks use on each worker.
@@ -240,7 +240,7 @@
                 self.grants = grants.clone();
                 self.scheduler.set_grants(grants);
             }
-            Event::StatusQuery(id, reply) => send_reply(reply, self.status(&id)),
+            Event::StatusQuery(id, team, reply) => send_reply(reply, self.status(&id, team.as_ref())),
             Event::PendingQuery(queue, reply) => send_reply(reply, Reply::Pending(self.scheduler.queued_jobs(&queue))),
             Event::LoadsQuery(reply) => send_reply(reply, Reply::Loads(self.scheduler.finite_task_cpu())),
             Event::VacateRequest(id, wait, reply) => {
@@ -252,8 +252,8 @@
 
     /// Answers a query for a job's state. The answer that there is no such job is given
     /// only if requests have been read recently.
-    fn status(&self, id: &JobKey) -> Reply {
-        let status: Option<JobStatus> = self.scheduler.job_status(id);
+    fn status(&self, id: &JobKey, team: Option<&TeamId>) -> Reply {
+        let status: Option<JobStatus> = self.scheduler.job_status(id, team);
         // The job's submission may be among requests that have not been read yet.
         if status.is_none() && self.requests_read_at + MAX_REQUESTS_AGE < clock::now().mono {
             return Reply::Unavailable;
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -71,7 +71,7 @@
 /// Carries out a call for which this instance is the receiver.
 async fn handle_call(node: &Arc<Node>, call: Call) -> Reply {
     match call {
-        Call::Status { part, id } => owner::call_local(node, part, |reply| Event::StatusQuery(id, reply)).await,
+        Call::Status { part, id, team } => owner::call_local(node, part, |reply| Event::StatusQuery(id, team, reply)).await,
         Call::Pending { part, queue } => owner::call_local(node, part, |reply| Event::PendingQuery(queue, reply)).await,
         Call::Vacate { part, worker, wait } => owner::call_local(node, part, |reply| Event::VacateRequest(worker, wait, reply)).await,
         Call::Loads { part } => owner::call_local(node, part, Event::LoadsQuery).await,
--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -38,6 +38,9 @@
     Cancel {
         /// When the cancellation was received, milliseconds since the Unix epoch.
         at_ms: u64,
+        /// Team of the caller, which may only cancel its own jobs; `None` for a public queue.
+        #[serde(default)]
+        team: Option<TeamId>,
     },
 }
 
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -76,10 +76,11 @@
         self.workers.values().map(|it| (it.listed.id.clone(), load(it))).collect()
     }
 
-    /// Status of a job; `None` if the job is not known here. An end is reported only once
-    /// the log has confirmed it.
-    pub fn job_status(&self, id: &JobKey) -> Option<JobStatus> {
-        let tracked = self.jobs.get(id)?;
+    /// Status of a job; `None` if the job is not known here, or belongs to another team than
+    /// the caller's, which is `None` for a public queue. An end is reported only once the log
+    /// has confirmed it.
+    pub fn job_status(&self, id: &JobKey, team: Option<&TeamId>) -> Option<JobStatus> {
+        let tracked = self.jobs.get(id).filter(|it| it.is_visible_to(team))?;
         Some(match tracked.logged_phase {
             JobPhase::Completed => JobStatus::Completed,
             JobPhase::Failed => JobStatus::Failed,
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -28,6 +28,8 @@
         part: PartitionId,
         /// Key of the job.
         id: JobKey,
+        /// Team of the caller; `None` for a public queue.
+        team: Option<TeamId>,
     },
     /// Queries the number of queued jobs of a queue from the owner of its partition.
     Pending {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -7,7 +7,7 @@
 //! run that may exist. Each order to a worker carries a fencing token that increases
 //! with each owner, and a start expires at a time on the worker's clock.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -88,6 +88,15 @@
     pub(crate) cancel_pending: bool,
 }
 
+impl TrackedJob {
+    /// Whether callers of a team may read and cancel the job. `None` stands for callers of a
+    /// public queue, which need no key.
+    pub(crate) fn is_visible_to(&self, team: Option<&TeamId>) -> bool {
+        let own = &self.record.submission.team;
+        own.is_empty() || team.is_none_or(|it| it == own)
+    }
+}
+
 /// The owner of all pools whose jobs are in one partition of the log.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -108,7 +117,7 @@
     /// Share of each team's cap that is granted to this owner.
     pub(crate) grants: HashMap<TeamId, Resources>,
     /// Jobs whose cancel request was read before their submission.
-    pub(crate) early_cancels: HashSet<JobKey>,
+    pub(crate) early_cancels: HashMap<JobKey, Option<TeamId>>,
     /// Jobs whose records go into the next commit.
     pub(crate) dirty_jobs: BTreeSet<JobKey>,
     /// Jobs whose records the next commit removes.
@@ -151,7 +160,7 @@
             candidates: Candidates::default(),
             usage: HashMap::new(),
             grants: HashMap::new(),
-            early_cancels: HashSet::new(),
+            early_cancels: HashMap::new(),
             dirty_jobs: BTreeSet::new(),
             expired_jobs: Vec::new(),
             pending_starts: Vec::new(),
@@ -197,23 +206,25 @@
                 };
                 self.jobs.insert(id.clone(), tracked);
                 self.open_jobs.insert(id.clone());
-                if self.early_cancels.remove(&id) {
-                    self.cancel_job(now, &id);
+                if let Some(team) = self.early_cancels.remove(&id) {
+                    self.cancel_job(now, &id, team.as_ref());
                 }
             }
-            Request::Cancel { .. } => match self.jobs.contains_key(&id) {
-                true => self.cancel_job(now, &id),
+            Request::Cancel { team, .. } => match self.jobs.contains_key(&id) {
+                true => self.cancel_job(now, &id, team.as_ref()),
                 // The cancel may be read before the submission.
-                false => {
-                    self.early_cancels.insert(id);
-                }
+                false => _ = self.early_cancels.insert(id, team),
             },
         }
     }
 
-    /// Cancels a job whose cancel request was read. The request is removed from the log
-    /// once the end of the job is recorded.
-    fn cancel_job(&mut self, now: Now, id: &JobKey) {
+    /// Cancels a job whose cancel request was read, unless it belongs to another team. The
+    /// request is removed from the log once the end of the job is recorded.
+    fn cancel_job(&mut self, now: Now, id: &JobKey, team: Option<&TeamId>) {
+        if !self.jobs.get(id).is_some_and(|it| it.is_visible_to(team)) {
+            self.processed_cancels.push(id.clone());
+            return;
+        }
         self.end_job(now, id, JobPhase::Cancelled);
         let Some(tracked) = self.jobs.get_mut(id) else {
             return;
--- a/lib/tests/test_pool_world.rs
+++ b/lib/tests/test_pool_world.rs
@@ -231,7 +231,10 @@
     }
 
     fn cancel(&mut self, id: JobKey) {
-        let request = Request::Cancel { at_ms: self.now_ms };
+        let request = Request::Cancel {
+            at_ms: self.now_ms,
+            team: None,
+        };
         self.requests.push((id.clone(), request.clone()));
         self.owner.add_request(self.now(), id.clone(), request);
         self.cancelled.insert(id, self.now_ms);
@@ -537,7 +540,7 @@
     /// Checks that every job has ended and that the tasks of long-running jobs are running.
     fn check_end(&self) {
         for (id, spec) in &self.specs {
-            let status = self.owner.job_status(id);
+            let status = self.owner.job_status(id, None);
             let is_running = |it: &TaskKey| {
                 self.workers
                     .values()
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use oriolewall::catalog::{Queue, Team};
-use oriolewall::id::InstanceId;
+use oriolewall::id::{InstanceId, TeamId};
 use oriolewall::job_record::{Request, Submission, TaskState};
 use oriolewall::order::{ActiveRun, OrderOutcome, Refusal, RunOutcome, WorkerStatus};
 use oriolewall::query::JobStatus;
@@ -89,14 +89,14 @@
     fixture.add_request("job", submit("", vec![step(1, 1000)]));
     fixture.advance_ms(4000);
     fixture.confirms_commits = false;
-    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
     fixture.advance_ms(4000);
     assert!(fixture.removed_cancels.is_empty(), "the end of the job is not in the log");
     fixture.owner.commit_confirmed(fixture.now);
     fixture.advance_ms(4000);
     assert_eq!(fixture.removed_cancels.len(), 1);
     // A repeated cancel changes nothing and is removed as well.
-    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
     fixture.advance_ms(4000);
     assert_eq!(fixture.removed_cancels.len(), 2);
 }
@@ -104,7 +104,7 @@
 #[test]
 fn a_cancel_that_is_read_before_its_job_is_removed_with_it() {
     let mut fixture = OwnerFixture::new(vec![]);
-    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
     fixture.add_request("job", submit("", vec![step(1, 1000)]));
     fixture.advance_ms(4000);
     assert_eq!(fixture.removed_cancels.len(), 1);
@@ -118,7 +118,7 @@
     fixture.add_request("job", submit("", vec![step(1, 8000)]));
     fixture.advance_ms(100);
     assert_eq!(fixture.starts.len(), 1);
-    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
     fixture.add_request("next", submit("", vec![step(1, 8000)]));
     fixture.report_status("w1", 700, vec![], vec![]);
     fixture.advance_ms(50);
@@ -154,7 +154,7 @@
     }
     fixture.advance_ms(200);
     assert_eq!(fixture.starts.len(), 2);
-    assert_eq!(fixture.owner.job_status(&Arc::from("job")), Some(JobStatus::Failed));
+    assert_eq!(fixture.owner.job_status(&Arc::from("job"), None), Some(JobStatus::Failed));
 }
 
 #[test]
@@ -176,20 +176,20 @@
     fixture.add_request("job", submit("", vec![step(1, 1000)]));
     fixture.advance_ms(100);
     fixture.confirm_start(0, 650);
-    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
     fixture.advance_ms(100);
     let key = fixture.starts[0].key.clone();
     assert_eq!(fixture.stops, vec![key.clone()]);
     fixture.report_status("w1", 900, vec![], vec![run_end(1, &key, RunOutcome::Stopped)]);
     fixture.advance_ms(300);
     assert_eq!(fixture.starts.len(), 1);
-    assert_eq!(fixture.owner.job_status(&Arc::from("job")), Some(JobStatus::Cancelled));
+    assert_eq!(fixture.owner.job_status(&Arc::from("job"), None), Some(JobStatus::Cancelled));
 }
 
 #[test]
 fn a_cancel_read_before_its_submission_takes_effect() {
     let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
-    fixture.add_request("job", Request::Cancel { at_ms: 0 });
+    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
     fixture.add_request("job", submit("", vec![step(1, 1000)]));
     fixture.advance_ms(300);
     assert!(fixture.starts.is_empty());
@@ -272,7 +272,7 @@
     let id = fixture.starts[0].worker.clone();
     fixture.report_status(&id, 900, vec![], vec![run_end(1, &key, RunOutcome::Done)]);
     fixture.advance_ms(100);
-    assert_eq!(fixture.owner.job_status(&Arc::from("job")), Some(JobStatus::Completed));
+    assert_eq!(fixture.owner.job_status(&Arc::from("job"), None), Some(JobStatus::Completed));
 }
 
 #[test]
@@ -426,3 +426,68 @@
     fixture.advance_ms(100);
     assert_eq!(fixture.starts.len(), 2, "the worker is being emptied");
 }
+
+#[test]
+fn a_job_of_another_team_is_unknown_to_the_caller() {
+    // Any valid key read and cancelled any team's job by its id.
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    let (own, other): (Option<TeamId>, Option<TeamId>) = (Some(Arc::from("own")), Some(Arc::from("other")));
+    let team = Team {
+        weight: 1.0,
+        cap: Resources::default(),
+    };
+    fixture.catalog.teams.insert(Arc::from("own"), team);
+    fixture.refresh_config();
+    fixture.add_request(
+        "early",
+        Request::Cancel {
+            at_ms: 0,
+            team: other.clone(),
+        },
+    );
+    fixture.add_request("early", submit("own", vec![step(1, 1000)]));
+    fixture.add_request("job", submit("own", vec![step(1, 1000)]));
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: other.clone(),
+        },
+    );
+    fixture.advance_ms(100);
+    let job = Arc::from("job");
+    assert_eq!(fixture.owner.job_status(&job, other.as_ref()), None);
+    assert_eq!(fixture.owner.job_status(&job, own.as_ref()), Some(JobStatus::Running));
+    assert_eq!(
+        fixture.owner.job_status(&Arc::from("early"), own.as_ref()),
+        Some(JobStatus::Running)
+    );
+    assert_eq!(fixture.owner.job_status(&job, None), Some(JobStatus::Running), "on a public queue");
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: own.clone(),
+        },
+    );
+    fixture.advance_ms(100);
+    assert_eq!(fixture.owner.job_status(&job, own.as_ref()), Some(JobStatus::Cancelled));
+}
+
+#[test]
+fn a_late_job_that_can_still_be_of_use_goes_before_one_that_cannot() {
+    // Replays a backlog: the objective is 2.1 s, so results are of use for 6.3 s. The oldest
+    // job, which would end later than that, went first and made the next one too late as well.
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.now = time_at(4500);
+    for (id, age_ms) in [("useful", 4500), ("overdue", 6000)] {
+        let Request::Submit(mut submission) = submit("", vec![step(8, 1000)]) else {
+            unreachable!("it is a submission");
+        };
+        submission.received_ms = time_at(4500).wall_ms() - age_ms;
+        fixture.add_request(id, Request::Submit(submission));
+    }
+    fixture.advance_ms(50);
+    let placed: Vec<&str> = fixture.starts.iter().map(|it| &*it.key.task.job).collect();
+    assert!(!placed.is_empty() && placed.iter().all(|it| *it == "useful"), "{placed:?}");
+}
