caller_api: refusals and return times are decisions of their own

Cause: how long to try and what Retry-After says were constants between sockets, one second for everybody; and a request was sent to a log known to be silent, after which its caller could only get 504 at the deadline. Change: module refusal with cause and return time, spread and growing with the outage; a request is not sent to a silent log unless another instance can append it, and is refused at once, as it has not run.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -18,6 +18,7 @@
 use oriolewall::id::TeamId;
 use oriolewall::job_record::{self, JobKey, Submission};
 use oriolewall::query::JobStatus;
+use oriolewall::refusal::{Cause, PATIENCE};
 use oriolewall::rpc::{Call, PartitionId, Reply};
 use serde_json::json;
 use tokio::time::Instant;
@@ -34,13 +35,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 /// Time limit of one attempt to append a request to the log.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time after which a request is refused if nothing can have taken effect yet. It
-/// stays below 150 ms, a quarter of the tightest objective.
-const REFUSE_AFTER: Duration = Duration::from_millis(120);
 /// Mean delay between two attempts.
 const RETRY_DELAY: Duration = Duration::from_millis(30);
-/// Seconds after which a caller should retry a refused request, for `Retry-After`.
-const RETRY_AFTER_SECONDS: &str = "1";
 /// Request header with the time, in milliseconds, for which the caller waits.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 
@@ -99,7 +95,7 @@
 /// A caller without a known key belongs to the team with the empty name, if the queue is public.
 fn resolve_target(catalog: &Catalog, request: &Request<Incoming>, path: &str) -> Result<Target, HttpResponse> {
     if catalog.version == 0 {
-        return Err(unavailable_response("no configuration yet"));
+        return Err(unavailable_response(Cause::NoConfiguration));
     }
     let host = request.headers().get(HOST).and_then(|it| it.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
@@ -188,7 +184,7 @@
     let part = node.partition_of(&target.queue.pool);
     match store_request(node, part, id, job_record::Request::Submit(submission), target.deadline).await {
         Reply::Done => server::json_response(StatusCode::OK, caller::status_body(JobStatus::Queued)),
-        Reply::Unavailable => unavailable_response("the log takes no requests"),
+        Reply::Unavailable => unavailable_response(log_cause(node)),
         _ => error_response(StatusCode::GATEWAY_TIMEOUT, "the log did not answer; the job may have been taken"),
     }
 }
@@ -207,7 +203,7 @@
     };
     match store_request(node, part, id, request, target.deadline).await {
         Reply::Done => server::json_response(StatusCode::OK, caller::status_body(JobStatus::Cancelled)),
-        Reply::Unavailable => unavailable_response("the log takes no requests"),
+        Reply::Unavailable => unavailable_response(log_cause(node)),
         _ => error_response(
             StatusCode::GATEWAY_TIMEOUT,
             "the log did not answer; the job may have been cancelled",
@@ -218,7 +214,7 @@
 /// Appends a request to the log, alternating between the routes. Returns `Done` once the request is in the log,
 /// `Unavailable` if it certainly is not, and `Unknown` if it may be.
 async fn store_request(node: &Arc<Node>, part: PartitionId, id: &JobKey, request: job_record::Request, deadline: Instant) -> Reply {
-    let refuse_at = Instant::now() + REFUSE_AFTER;
+    let refuse_at = Instant::now() + PATIENCE;
     let mut possibly_stored = false;
     let mut route = request_log::choose_route(node, part);
     let key = match &request {
@@ -228,6 +224,10 @@
     let record = (key, request_log::encode(&request));
     loop {
         let remaining = deadline.saturating_duration_since(Instant::now()).min(ATTEMPT_TIMEOUT);
+        // A request that a silent log may have stored could not be refused any more.
+        if route == Route::Direct && !possibly_stored && !node.is_log_reachable() {
+            return Reply::Unavailable;
+        }
         match request_log::append(node, part, route, vec![record.clone()], remaining).await {
             Reply::Done => return Reply::Done,
             Reply::Unavailable | Reply::NotOwner => {}
@@ -249,13 +249,13 @@
 
 /// Responds with a job's state, retrying for a short time if it cannot be determined.
 async fn get_status(node: &Arc<Node>, target: &Target, id: &JobKey) -> HttpResponse {
-    let refuse_at = Instant::now() + REFUSE_AFTER;
+    let refuse_at = Instant::now() + PATIENCE;
     loop {
         match locate_job(node, target, id).await {
             JobLocation::Found(_, status) => return server::json_response(StatusCode::OK, caller::status_body(status)),
             JobLocation::NotFound => return error_response(StatusCode::GONE, "there is no such job"),
             JobLocation::Unknown if refuse_at <= Instant::now() + RETRY_DELAY => {
-                return unavailable_response("the owner of the job's pool does not answer");
+                return unavailable_response(Cause::OwnerSilent);
             }
             JobLocation::Unknown => tokio::time::sleep(RETRY_DELAY).await,
         }
@@ -303,7 +303,7 @@
 /// Responds with the number of waiting jobs of a queue.
 async fn get_pending(node: &Arc<Node>, target: &Target) -> HttpResponse {
     let part = node.partition_of(&target.queue.pool);
-    let refuse_at = Instant::now() + REFUSE_AFTER;
+    let refuse_at = Instant::now() + PATIENCE;
     loop {
         let call = Call::Pending {
             part,
@@ -311,18 +311,28 @@
         };
         match peer::call(node, part, call).await {
             Reply::Pending(count) => return server::json_response(StatusCode::OK, caller::pending_body(count)),
-            _ if refuse_at <= Instant::now() + RETRY_DELAY => return unavailable_response("the owner of the queue's pool does not answer"),
+            _ if refuse_at <= Instant::now() + RETRY_DELAY => return unavailable_response(Cause::OwnerSilent),
             _ => tokio::time::sleep(RETRY_DELAY).await,
         }
     }
 }
 
-/// Creates a response that asks the caller to retry later.
-fn unavailable_response(message: &str) -> HttpResponse {
-    let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, message);
+/// Returns why the log stored no request.
+fn log_cause(node: &Node) -> Cause {
+    match node.is_log_reachable() {
+        true => Cause::LogBusy,
+        false => Cause::LogSilent(node.log_silence()),
+    }
+}
+
+/// Creates a response that refuses a request and tells when to return.
+fn unavailable_response(cause: Cause) -> HttpResponse {
+    let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, cause.name());
+    // The header takes whole seconds. Rounding up or down at random keeps the spread.
+    let seconds = cause.retry_after(rand::random()).as_secs_f64() + rand::random::<f64>();
     response
         .headers_mut()
-        .insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
+        .insert(RETRY_AFTER, HeaderValue::from(seconds.max(1.0) as u64));
     response
 }
 
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -164,8 +164,13 @@
 
     /// Returns whether the log has answered within [`LOG_UNREACHABLE_AFTER`].
     pub(crate) fn is_log_reachable(&self) -> bool {
+        self.log_silence() < LOG_UNREACHABLE_AFTER
+    }
+
+    /// Returns the time since the log's last answer.
+    pub(crate) fn log_silence(&self) -> Duration {
         let last_answer = Duration::from_millis(self.last_log_answer_ms.load(Ordering::Relaxed));
-        clock::now().mono < last_answer + LOG_UNREACHABLE_AFTER
+        clock::now().mono.saturating_sub(last_answer)
     }
 
     /// Records that the group confirmed this member in answer to a join sent at this monotonic time.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -48,6 +48,7 @@
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
 //! - [`forecast`]: work that will arrive for a pool.
+//! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
 //! - [`rpc`]: calls between entry instances that own partitions of the log.
@@ -90,6 +91,7 @@
 pub mod quota;
 pub mod record;
 mod recovery;
+pub mod refusal;
 pub mod replica;
 pub mod resend;
 pub mod resources;
