node: the log counts as unreachable with the first call that times out

Cause: in a zone that is cut off, callers still reach its instances. Change: module reachability; a call that times out with no answer since it was sent makes the log unreachable, so requests are refused before they are sent and the instance is not ready; the owners are read every 300 ms to notice its return. Result: three tests replay a cut, lost answers and a silence.

--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -30,6 +30,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum time between two reads of all partitions' owners.
 const OWNERS_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
+/// The same while the log is unreachable, to find out soon when it answers again.
+const UNREACHABLE_REFRESH_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Minimum CPU, in millicores, with which an instance owns partitions while there are
 /// enough owners. The owner of a pool that starts 1,600 tasks per second uses 400.
@@ -79,7 +81,12 @@
                 }
             }
             Err(Error::UnknownMember) => generation = 0,
-            Err(err) => watch::report_log_error(&node, "join", &err),
+            Err(err) => {
+                watch::report_log_error(&node, "join", &err);
+                if sent.mono + CALL_TIMEOUT <= clock::now().mono {
+                    node.record_log_timeout(sent.mono);
+                }
+            }
         }
         tokio::time::sleep(JOIN_INTERVAL).await;
     }
@@ -180,11 +187,16 @@
 async fn follow_owners(node: Arc<Node>) {
     loop {
         if let Ok(holders) = node.log.owners(GROUP, CALL_TIMEOUT).await {
+            watch::report_log_answer(&node, true);
             node.owners.store(Arc::new(owner_addresses(&holders)));
         }
+        let interval = match node.is_log_reachable() {
+            true => OWNERS_REFRESH_INTERVAL,
+            false => UNREACHABLE_REFRESH_INTERVAL,
+        };
         tokio::select! {
             () = node.refresh_owners.notified() => {}
-            () = tokio::time::sleep(OWNERS_REFRESH_INTERVAL) => {}
+            () = tokio::time::sleep(interval) => {}
         }
         // Many failed calls may request a read at the same time; one read answers them all.
         tokio::time::sleep(Duration::from_millis(40)).await;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -12,6 +12,7 @@
 use oriole_platform::log::LogClient;
 use oriolewall::catalog::Catalog;
 use oriolewall::id::{InstanceId, PoolId};
+use oriolewall::reachability::Reachability;
 use oriolewall::rpc::PartitionId;
 use oriolewall::worker::ListedWorker;
 use tokio::sync::{mpsc, watch};
@@ -24,10 +25,6 @@
 use crate::settings::{PlatformBounds, Settings};
 use crate::{clock, decision_log};
 
-/// Time without an answer from the log after which it counts as unreachable, and this
-/// instance reports that it is not ready. It is longer than the log's connections take
-/// to restart, and shorter than callers' deadlines.
-const LOG_UNREACHABLE_AFTER: Duration = Duration::from_millis(2500);
 /// Time after the sending of a confirmed join during which the coordinator may act.
 /// With the time for an order to arrive it stays below the member's time to live.
 const MEMBERSHIP_VALIDITY: Duration = Duration::from_millis(1500);
@@ -83,8 +80,7 @@
     pub(crate) coordinator_state: Mutex<CoordinatorState>,
     /// Connections to other entry instances, by peer address.
     peers: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
-    /// Monotonic time of the log's last answer, milliseconds.
-    last_log_answer_ms: AtomicU64,
+    log_reachability: Mutex<Reachability>,
     /// Monotonic time at which the last confirmed join was sent, milliseconds.
     member_confirmed_ms: AtomicU64,
     stopping: AtomicBool,
@@ -118,7 +114,7 @@
             owned_partitions: Mutex::new(HashMap::new()),
             coordinator_state: Mutex::new(CoordinatorState::default()),
             peers: Mutex::new(HashMap::new()),
-            last_log_answer_ms: AtomicU64::new(0),
+            log_reachability: Mutex::default(),
             member_confirmed_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
@@ -156,21 +152,29 @@
             .clone()
     }
 
+    fn log_reachability(&self) -> MutexGuard<'_, Reachability> {
+        self.log_reachability.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
     /// Records that the log answered now.
     pub(crate) fn record_log_answer(&self) {
-        self.last_log_answer_ms
-            .store(clock::now().mono.as_millis() as u64, Ordering::Relaxed);
+        self.log_reachability().record_answer(clock::now().mono);
+    }
+
+    /// Records that a call to the log that was sent at this monotonic time was not answered
+    /// within its time limit.
+    pub(crate) fn record_log_timeout(&self, sent: Duration) {
+        self.log_reachability().record_timeout(sent);
     }
 
-    /// Returns whether the log has answered within [`LOG_UNREACHABLE_AFTER`].
+    /// Returns whether the log answers this instance, as far as is known.
     pub(crate) fn is_log_reachable(&self) -> bool {
-        self.log_silence() < LOG_UNREACHABLE_AFTER
+        self.log_reachability().is_reachable(clock::now().mono)
     }
 
     /// Returns the time since the log's last answer.
     pub(crate) fn log_silence(&self) -> Duration {
-        let last_answer = Duration::from_millis(self.last_log_answer_ms.load(Ordering::Relaxed));
-        clock::now().mono.saturating_sub(last_answer)
+        self.log_reachability().silence(clock::now().mono)
     }
 
     /// Records that the group confirmed this member in answer to a join sent at this monotonic time.
--- a/fleet/src/request_log.rs
+++ b/fleet/src/request_log.rs
@@ -160,6 +160,11 @@
         }
         Err(err) => {
             watch::report_log_error(node, "append", &err);
+            if sent + APPEND_TIMEOUT <= now {
+                node.record_log_timeout(sent);
+                // While no request is sent to the log, this read finds out when it answers again.
+                node.refresh_owners.notify_one();
+            }
             match err {
                 Error::Call(platform::Error::Lost) | Error::UnexpectedResponse { .. } => Reply::Unknown,
                 _ => Reply::Unavailable,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -49,6 +49,7 @@
 //! - [`resend`]: when a call to the log is sent again.
 //! - [`forecast`]: work that will arrive for a pool.
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
+//! - [`reachability`]: whether the log answers an instance.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
 //! - [`rpc`]: calls between entry instances that own partitions of the log.
@@ -89,6 +90,7 @@
 pub mod query;
 pub mod queue;
 pub mod quota;
+pub mod reachability;
 pub mod record;
 mod recovery;
 pub mod refusal;
--- /dev/null
+++ b/lib/src/reachability.rs
@@ -0,0 +1,45 @@
+//! Whether the log answers this instance.
+//!
+//! Load pattern: a zone is cut off from the log while callers still reach its instances. A
+//! request sent into the cut may be stored as far as its instance can tell, so its caller
+//! cannot be told to go elsewhere. The log counts as unreachable as soon as one call has
+//! timed out with no answer since it was sent: from then on requests are refused before
+//! they are sent, and the platform is told to route callers elsewhere. Single lost answers
+//! do not count, as other calls are answered meanwhile.
+
+use std::time::Duration;
+
+/// Time without an answer after which the log counts as unreachable even if no call timed
+/// out. It is longer than reads of the log wait for records.
+const MAX_SILENCE: Duration = Duration::from_millis(2500);
+
+/// Answers and failures of calls to the log; times are monotonic.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reachability {
+    /// When the log last answered; zero if it never did.
+    last_answer: Duration,
+    /// When the last call was sent that timed out.
+    last_timeout: Duration,
+}
+
+impl Reachability {
+    /// Records an answer.
+    pub fn record_answer(&mut self, now: Duration) {
+        self.last_answer = now;
+    }
+
+    /// Records that a call which was sent at this time has timed out.
+    pub fn record_timeout(&mut self, sent: Duration) {
+        self.last_timeout = self.last_timeout.max(sent);
+    }
+
+    /// Time since the last answer.
+    pub fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.last_answer)
+    }
+
+    /// Whether the log answers, as far as is known.
+    pub fn is_reachable(&self, now: Duration) -> bool {
+        self.last_answer != Duration::ZERO && self.silence(now) < MAX_SILENCE && self.last_timeout <= self.last_answer
+    }
+}
--- /dev/null
+++ b/lib/tests/test_reachability.rs
@@ -0,0 +1,42 @@
+//! When the log counts as unreachable, replayed over cuts and lost answers.
+
+use std::time::Duration;
+
+use oriolewall::reachability::Reachability;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(10_000 + ms)
+}
+
+#[test]
+fn a_cut_is_noticed_with_the_first_call_that_times_out() {
+    let mut log = Reachability::default();
+    assert!(!log.is_reachable(at(0)), "it has not answered yet");
+    log.record_answer(at(0));
+    // The cut begins at 100 ms; a call that was sent then times out after 800 ms.
+    assert!(log.is_reachable(at(899)));
+    log.record_timeout(at(100));
+    assert!(!log.is_reachable(at(900)));
+    log.record_answer(at(5000));
+    assert!(log.is_reachable(at(5000)));
+}
+
+#[test]
+fn a_lost_answer_among_others_is_no_cut() {
+    let mut log = Reachability::default();
+    for ms in (0..3000).step_by(100) {
+        log.record_answer(at(ms));
+        if 800 <= ms {
+            log.record_timeout(at(ms - 800));
+        }
+        assert!(log.is_reachable(at(ms)), "at {ms} ms");
+    }
+}
+
+#[test]
+fn a_log_that_is_silent_without_calls_is_unreachable_in_the_end() {
+    let mut log = Reachability::default();
+    log.record_answer(at(0));
+    assert!(log.is_reachable(at(2400)));
+    assert!(!log.is_reachable(at(2500)));
+}
