group: joins are sent once, and ended members are removed again

Cause: a log that loses answers may carry a call out seconds late. Change: a join is sent once, with 450 ms instead of 1 s, so that four fit into the time to live; each instance removes members of its own address that have ended whenever it reads the owners.

--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -26,7 +26,10 @@
 /// Time to live of a membership: five join intervals, so that four joins in a row may
 /// be lost.
 const MEMBER_TTL: Duration = Duration::from_millis(2000);
-/// Time limit of a call to the log.
+/// Time limits of a join, the first one and after joins without an answer. With the first
+/// one, several joins fit into a membership's time to live; the last one bears a slow log.
+const JOIN_TIMEOUT: (Duration, Duration) = (Duration::from_millis(450), Duration::from_millis(1000));
+/// Time limit of other calls to the log.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum time between two reads of all partitions' owners.
 const OWNERS_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
@@ -54,13 +57,15 @@
         wait_for_owner_shortage(&node).await;
     }
     let mut generation = 0;
+    let mut timeout = JOIN_TIMEOUT.0;
     let ttl = MEMBER_TTL.max(node.settings.member_ttl);
     loop {
         let sent = clock::now();
-        let joined = node.log.join(GROUP, &node.member, ttl, generation, CALL_TIMEOUT).await;
+        let joined = node.log.join(GROUP, &node.member, ttl, generation, timeout).await;
         match joined {
             Ok(assignment) => {
                 watch::report_log_answer(&node, true);
+                timeout = JOIN_TIMEOUT.0;
                 node.confirm_member(sent.mono);
                 let changed = assignment.generation != generation;
                 generation = assignment.generation;
@@ -83,8 +88,12 @@
             Err(Error::UnknownMember) => generation = 0,
             Err(err) => {
                 watch::report_log_error(&node, "join", &err);
-                if sent.mono + CALL_TIMEOUT <= clock::now().mono {
-                    node.record_log_timeout(sent.mono);
+                if sent.mono + timeout <= clock::now().mono {
+                    if JOIN_TIMEOUT.1 <= timeout {
+                        node.record_log_timeout(sent.mono);
+                    }
+                    timeout = (timeout * 2).min(JOIN_TIMEOUT.1);
+                    continue;
                 }
             }
         }
@@ -153,15 +162,20 @@
     true
 }
 
-/// Removes members that earlier processes of this instance left in the group. They
-/// have ended, as this process has bound their address.
+/// Removes members that earlier processes of this instance left in the group.
 async fn remove_previous_memberships(node: &Node) {
-    let Ok(holders) = node.log.owners(GROUP, CALL_TIMEOUT).await else {
-        return;
-    };
+    if let Ok(holders) = node.log.owners(GROUP, CALL_TIMEOUT).await {
+        remove_ended_members(node, holders).await;
+    }
+}
+
+/// Removes members of this instance that have ended: those of earlier processes, which have
+/// ended as this process has bound their address, and its own while it is stopping. The log
+/// may carry out a join seconds after it was sent, and give partitions to such a member.
+async fn remove_ended_members(node: &Node, holders: Vec<PartitionHolder>) {
     let prefix = format!("{}@", node.settings.peer_addr);
     let mut previous: Vec<String> = holders.into_iter().map(|it| it.member).collect();
-    previous.retain(|it| it.starts_with(&prefix) && *it != node.member);
+    previous.retain(|it| it.starts_with(&prefix) && (*it != node.member || node.is_stopping()));
     previous.sort();
     previous.dedup();
     for member in previous {
@@ -189,6 +203,7 @@
         if let Ok(holders) = node.log.owners(GROUP, CALL_TIMEOUT).await {
             watch::report_log_answer(&node, true);
             node.owners.store(Arc::new(owner_addresses(&holders)));
+            remove_ended_members(&node, holders).await;
         }
         let interval = match node.is_log_reachable() {
             true => OWNERS_REFRESH_INTERVAL,
--- a/fleet/src/log.rs
+++ b/fleet/src/log.rs
@@ -79,7 +79,8 @@
         }
     }
 
-    /// See [`LogClient::join`].
+    /// See [`LogClient::join`]. A join is sent once: one that the log carries out seconds late
+    /// makes a process that has ended a member again.
     pub async fn join(
         &self,
         group: &str,
@@ -88,10 +89,7 @@
         generation: u64,
         timeout: Duration,
     ) -> Result<GroupAssignment, Error> {
-        self.call(None, timeout, |left| {
-            Box::pin(self.client.join(group, member, ttl, generation, left))
-        })
-        .await
+        self.client.join(group, member, ttl, generation, timeout).await
     }
 
     /// See [`LogClient::leave`].
--- a/fleet/tests/test_log.rs
+++ b/fleet/tests/test_log.rs
@@ -85,3 +85,15 @@
     let result = append(&log(addr), 0, Duration::from_millis(400)).await;
     assert_eq!(result, Err(Error::Call(platform::Error::Undelivered)));
 }
+
+#[tokio::test]
+async fn a_join_is_sent_once() {
+    // A log that carries out a lost join seconds late makes a process that has ended a member
+    // again, which holds partitions until its time to live is over.
+    let (addr, calls) = start_log(|_| true).await;
+    let joined = log(addr)
+        .join("owners", "member", Duration::from_secs(2), 0, Duration::from_millis(400))
+        .await;
+    assert_eq!(joined, Err(Error::Call(platform::Error::Lost)));
+    assert_eq!(calls.load(Ordering::SeqCst), 1);
+}
