--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -235,23 +235,39 @@
     T: Send + 'static,
     I: IntoIterator<Item = (PoolId, Option<InstanceId>, T)>,
 {
-    let mut checks = JoinSet::new();
+    let (mut vacant, mut busy) = (Vec::new(), Vec::new());
+    let mut by_part: BTreeMap<PartitionId, (Vec<InstanceId>, Vec<T>)> = BTreeMap::new();
     for (pool, worker, item) in requested {
+        let Some(worker) = worker else {
+            vacant.push(item);
+            continue;
+        };
+        let (workers, items) = by_part.entry(node.partition_of(&pool)).or_default();
+        workers.push(worker);
+        items.push(item);
+    }
+    let mut calls = JoinSet::new();
+    for (part, (workers, items)) in by_part {
         let node = node.clone();
-        checks.spawn(async move { (vacate_worker(&node, &pool, worker, wait).await, item) });
+        calls.spawn(async move {
+            let reply = peer::call(&node, part, Call::Vacate { part, workers, wait }).await;
+            (reply, items)
+        });
     }
-    let (vacant, busy): (Vec<_>, Vec<_>) = checks.join_all().await.into_iter().partition(|(vacant, _)| *vacant);
-    let items = |it: Vec<(bool, T)>| it.into_iter().map(|(_, item)| item).collect();
-    (items(vacant), items(busy))
-}
-
-/// Asks the owner of a worker to vacate it. Returns whether nothing runs there.
-async fn vacate_worker(node: &Arc<Node>, pool: &PoolId, worker: Option<InstanceId>, wait: bool) -> bool {
-    let Some(worker) = worker else {
-        return true;
-    };
-    let part = node.partition_of(pool);
-    peer::call(node, part, Call::Vacate { part, worker, wait }).await == Reply::Vacant(true)
+    for (reply, items) in calls.join_all().await {
+        // Workers for which there is no answer count as busy.
+        let is_vacant = match reply {
+            Reply::Vacant(is_vacant) => is_vacant,
+            _ => Vec::new(),
+        };
+        for (index, item) in items.into_iter().enumerate() {
+            match is_vacant.get(index) {
+                Some(true) => vacant.push(item),
+                _ => busy.push(item),
+            }
+        }
+    }
+    (vacant, busy)
 }
 
 /// Moves instances between pools as demand requires. Only instances on which nothing
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -82,9 +82,9 @@
     PendingQuery(QueueId, oneshot::Sender<Reply>),
     /// Query for the CPU that finite tasks use on each worker.
     LoadsQuery(oneshot::Sender<Reply>),
-    /// Request to keep new work away from a worker. With the flag a worker on which tasks
-    /// run also gets no new ones; without it such a worker stays in service.
-    VacateRequest(InstanceId, bool, oneshot::Sender<Reply>),
+    /// Request to keep new work away from workers. With the flag those on which tasks run
+    /// also get no new ones; without it they stay in service.
+    VacateRequest(Vec<InstanceId>, bool, oneshot::Sender<Reply>),
 }
 
 /// State of the event loop of one owned partition.
@@ -243,8 +243,9 @@
             Event::StatusQuery(id, team, reply) => send_reply(reply, self.status(&id, team.as_ref())),
             Event::PendingQuery(queue, reply) => send_reply(reply, Reply::Pending(self.scheduler.queued_jobs(&queue))),
             Event::LoadsQuery(reply) => send_reply(reply, Reply::Loads(self.scheduler.finite_task_cpu())),
-            Event::VacateRequest(id, wait, reply) => {
-                let vacant = self.scheduler.vacate(now, &id, now.mono + VACATE_DURATION, wait);
+            Event::VacateRequest(ids, wait, reply) => {
+                let until = now.mono + VACATE_DURATION;
+                let vacant = ids.iter().map(|id| self.scheduler.vacate(now, id, until, wait)).collect();
                 send_reply(reply, Reply::Vacant(vacant));
             }
         }
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -73,7 +73,7 @@
     match call {
         Call::Status { part, id, team } => owner::call_local(node, part, |reply| Event::StatusQuery(id, team, reply)).await,
         Call::Pending { part, queue } => owner::call_local(node, part, |reply| Event::PendingQuery(queue, reply)).await,
-        Call::Vacate { part, worker, wait } => owner::call_local(node, part, |reply| Event::VacateRequest(worker, wait, reply)).await,
+        Call::Vacate { part, workers, wait } => owner::call_local(node, part, |reply| Event::VacateRequest(workers, wait, reply)).await,
         Call::Loads { part } => owner::call_local(node, part, Event::LoadsQuery).await,
         Call::AppendRecords { part, records } => request_log::handle_call(node, part, records).await,
         Call::Report(report) => coordinator::handle_report(node, report),
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -45,14 +45,14 @@
         /// The requests.
         records: Vec<RequestRecord>,
     },
-    /// Empties a worker for maintenance or a move to another pool.
+    /// Empties workers for maintenance or a move to another pool.
     Vacate {
-        /// Partition of the worker's pool.
+        /// Partition of the workers' pools.
         part: PartitionId,
-        /// Worker to be emptied.
-        worker: InstanceId,
-        /// Whether a worker with runs takes no new tasks until they have ended; otherwise
-        /// it stays in service.
+        /// Workers to be emptied.
+        workers: Vec<InstanceId>,
+        /// Whether workers with runs take no new tasks until these have ended; otherwise
+        /// they stay in service.
         wait: bool,
     },
     /// Queries the CPU reserved by finite tasks on the workers of a partition's pools.
@@ -91,8 +91,8 @@
     /// The records were appended. The number is that of the requests that the aggregator
     /// appends to the partition per second.
     Appended(u64),
-    /// Whether the worker has no runs.
-    Vacant(bool),
+    /// For each of the workers, in order, whether it has no runs.
+    Vacant(Vec<bool>),
     /// CPU reserved by finite tasks, by worker, millicores.
     Loads(HashMap<InstanceId, u64>),
     /// Resources granted to the owner, by team.
