coordinator: a hand-over no longer restarts the wait for all instances

Cause: a coordinator may order an instance a minimum time after its predecessor did. Change: module order_history; the record holds how long a successor has to wait for each instance, and the waits go on over further hand-overs. Records of names alone are still read, with the full wait.

--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -4,7 +4,7 @@
 //! The owner of [`COORDINATOR_PART`] is the coordinator. Its epoch as the owner of
 //! that partition is the fencing token of its orders.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use oriole_platform::machine::{Answer, Machine, MachineClient, State};
 use oriolewall::balance::{Instance, Move, Planner, PoolLoad};
 use oriolewall::id::{InstanceId, PoolId};
+use oriolewall::order_history::OrderHistory;
 use oriolewall::quota::QuotaAllocator;
 use oriolewall::rpc::{Call, PartitionId, Reply, UsageReport};
 use serde_json::json;
@@ -91,12 +92,7 @@
     pub(crate) fencing_token: u64,
     /// Position of the next append to [`COORDINATOR`].
     position: AppendPosition,
-    /// Instances that earlier coordinators may have sent orders to, with the time from
-    /// which this one may do so.
-    predecessor_orders: HashMap<Arc<str>, Duration>,
-    /// Instances that this coordinator has recently sent orders to, or is about to, with
-    /// the time at which it recorded that.
-    recent_orders: HashMap<Arc<str>, Duration>,
+    orders: OrderHistory,
 }
 
 impl CoordinatorSession {
@@ -118,13 +114,11 @@
             .iter()
             .find(|it| it.key == RECENT_ORDERS_KEY)
             .and_then(|it| it.value.as_deref());
-        let names: Vec<Arc<str>> = recent.and_then(|it| rmp_serde::from_slice(it).ok()).unwrap_or_default();
-        let until = clock::now().mono + node.bounds.load().coordinator_lease + HANDOVER_MARGIN;
+        let handover_wait = node.bounds.load().coordinator_lease + HANDOVER_MARGIN;
         let session = CoordinatorSession {
             fencing_token,
             position,
-            predecessor_orders: names.into_iter().map(|it| (it, until)).collect(),
-            recent_orders: HashMap::new(),
+            orders: OrderHistory::restore(clock::now().mono, handover_wait, CALL_TIMEOUT, recent),
         };
         Ok((session, newest))
     }
@@ -132,19 +126,13 @@
     /// Returns whether enough time has passed since orders of earlier coordinators to an
     /// instance.
     pub(crate) fn may_order(&self, name: &str) -> bool {
-        self.predecessor_orders.get(name).is_none_or(|until| *until < clock::now().mono)
+        self.orders.may_order(clock::now().mono, name)
     }
 
     /// Records that orders are about to be sent to instances. Returns whether they may
     /// be sent: the record is in the log and this instance is still the coordinator.
     pub(crate) async fn record_intent(&mut self, node: &Node, names: &[Arc<str>]) -> bool {
-        let now = clock::now().mono;
-        let retention = node.bounds.load().coordinator_lease + HANDOVER_MARGIN + CALL_TIMEOUT;
-        self.recent_orders.retain(|_, at| now < *at + retention);
-        self.predecessor_orders.retain(|_, until| now < *until);
-        self.recent_orders.extend(names.iter().map(|it| (it.clone(), now)));
-        let recent: Vec<&Arc<str>> = self.recent_orders.keys().chain(self.predecessor_orders.keys()).collect();
-        let value = rmp_serde::to_vec(&recent).expect("names can be encoded");
+        let value = self.orders.record(clock::now().mono, names);
         self.append_record(node, RECENT_ORDERS_KEY, value).await
             && node.is_member()
             && node
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,6 +50,7 @@
 //! - [`forecast`]: work that will arrive for a pool.
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`reachability`]: whether the log answers an instance.
+//! - [`order_history`]: recent orders of fleet coordinators to instances.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
 //! - [`rpc`]: calls between entry instances that own partitions of the log.
@@ -84,6 +85,7 @@
 pub mod maintain;
 pub mod member;
 pub mod order;
+pub mod order_history;
 mod peer;
 mod placement;
 pub mod platform;
