owner, log: no clients of former workers, whole reads are sent once

Reading the newest records at a takeover takes many pages, which was taken for an overdue answer and sent again meanwhile. The limit of a wave for each pool was counted anew for each of up to 539 instances. Change: clients are kept for known workers only; read_newest is sent once; instances in service are counted once a round.

--- a/fleet/src/log.rs
+++ b/fleet/src/log.rs
@@ -63,9 +63,9 @@
             .await
     }
 
-    /// See [`LogClient::read_newest`].
+    /// See [`LogClient::read_newest`]. It is sent once, as it reads many pages of up to 1 MB.
     pub async fn read_newest(&self, part: Partition, timeout: Duration) -> Result<ReadResult, Error> {
-        self.call(None, timeout, |left| Box::pin(self.client.read_newest(part, left))).await
+        self.client.read_newest(part, timeout).await
     }
 
     /// See [`LogClient::read`]. A read that waits for records is sent once.
--- a/fleet/src/maintenance.rs
+++ b/fleet/src/maintenance.rs
@@ -146,13 +146,14 @@
         let requested_at = clock::now().mono;
         let mut chosen = Vec::new();
         let mut by_pool: HashMap<&PoolId, usize> = HashMap::new();
+        let max_chosen = self.max_chosen_per_round();
         for (name, machine) in ready {
             if allowed_down == 0 {
                 break;
             }
             let chosen_in_pool = by_pool.entry(&machine.pool).or_default();
             let load = machine.worker.as_ref().and_then(|it| loads.get(it)).copied().unwrap_or(0);
-            if self.max_chosen_per_round(&machine.pool) <= *chosen_in_pool || 0 < load && shortfall == 0 {
+            if max_chosen.get(&machine.pool).copied().unwrap_or(0) <= *chosen_in_pool || 0 < load && shortfall == 0 {
                 continue;
             }
             shortfall = shortfall.saturating_sub(1);
@@ -190,15 +191,14 @@
         vacating.into_iter().collect()
     }
 
-    /// Returns how many instances of a pool may be chosen in one round: a third of those
+    /// Returns how many instances of each pool may be chosen in one round: a third of those
     /// in service, rounded up.
-    fn max_chosen_per_round(&self, pool: &PoolId) -> usize {
-        let up_count = self
-            .all_machines
-            .iter()
-            .filter(|it| it.pool == *pool && it.state == State::Up)
-            .count();
-        up_count.div_ceil(3)
+    fn max_chosen_per_round(&self) -> HashMap<&PoolId, usize> {
+        let mut up_counts: HashMap<&PoolId, usize> = HashMap::new();
+        for machine in self.all_machines.iter().filter(|it| it.state == State::Up) {
+            *up_counts.entry(&machine.pool).or_default() += 1;
+        }
+        up_counts.into_iter().map(|(pool, count)| (pool, count.div_ceil(3))).collect()
     }
 
     /// Returns the CPU, in millicores, that finite tasks use on each worker. Workers whose
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -285,6 +285,8 @@
             }
         }
         self.scheduler.set_workers(clock::now(), listed_workers);
+        // A moved instance comes back as another worker, so clients of former ones add up.
+        self.workers.retain(|id, _| self.scheduler.has_worker(id));
     }
 
     /// Reports use and demand to the fleet coordinator when a report is due, and drops
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -42,6 +42,11 @@
         self.jobs.len()
     }
 
+    /// Whether a worker is listed, or may still have runs although it is not.
+    pub fn has_worker(&self, id: &InstanceId) -> bool {
+        self.workers.contains_key(id)
+    }
+
     /// Load of each pool that has workers or jobs here.
     pub fn pool_loads(&self, now: Now) -> BTreeMap<PoolId, PoolLoad> {
         let mut loads: BTreeMap<PoolId, PoolLoad> = BTreeMap::new();
