group: an owner that the log turns away hands over through another instance

Cause: the log refused a third of the instances for 8 s, among them the owner of a pool in its turn. Change: an owner without any answer for 0.8 s asks another instance to take it out of the group, and gives its partitions up once that is done. If the other one cannot reach the log either, nothing changes. A test replays the refusal.

--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -11,13 +11,13 @@
 use std::time::Duration;
 
 use oriole_platform::log::{Error, GroupAssignment, PartitionHolder};
-use oriolewall::rpc::PartitionId;
+use oriolewall::rpc::{Call, PartitionId, Reply};
 use serde_json::json;
 use tokio::sync::mpsc;
 
 use crate::node::{Node, OwnedPartition};
 use crate::owner::{self, Event};
-use crate::{clock, watch};
+use crate::{clock, peer, watch};
 
 /// Name of the group of partition owners in the log service.
 pub(crate) const GROUP: &str = "owners";
@@ -31,6 +31,8 @@
 const JOIN_TIMEOUT: (Duration, Duration) = (Duration::from_millis(450), Duration::from_millis(1000));
 /// Time limit of other calls to the log.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time limit of a call to another instance by which an owner gives its partitions up.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum time between two reads of all partitions' owners.
 const OWNERS_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
 /// The same while the log is unreachable, to find out soon when it answers again.
@@ -58,6 +60,7 @@
     }
     let mut generation = 0;
     let mut timeout = JOIN_TIMEOUT.0;
+    let mut attempts = 0;
     let ttl = MEMBER_TTL.max(node.settings.member_ttl);
     loop {
         let sent = clock::now();
@@ -88,6 +91,10 @@
             Err(Error::UnknownMember) => generation = 0,
             Err(err) => {
                 watch::report_log_error(&node, "join", &err);
+                attempts += 1;
+                if node.should_hand_over() && hand_over(&node, attempts).await {
+                    generation = 0;
+                }
                 if sent.mono + timeout <= clock::now().mono {
                     if JOIN_TIMEOUT.1 <= timeout {
                         node.record_log_timeout(sent.mono);
@@ -162,6 +169,45 @@
     true
 }
 
+/// Gives all partitions up through another instance, as an owner that the log does not
+/// answer can record no placement. Returns false if that instance cannot reach the log
+/// either, or does not answer; then the partitions are kept, and running work goes on.
+async fn hand_over(node: &Node, attempts: usize) -> bool {
+    let owners = node.owners.load();
+    let mut others: Vec<SocketAddr> = owners.values().filter(|it| **it != node.settings.peer_addr).copied().collect();
+    others.sort();
+    others.dedup();
+    if others.is_empty() {
+        return false;
+    }
+    let addr = others[attempts % others.len()];
+    let call = Call::Leave {
+        member: node.member.clone(),
+    };
+    let has_left = peer::call_instance(node, addr, call, HANDOVER_TIMEOUT).await == Reply::Done;
+    if has_left {
+        if let Ok(mut owned) = node.owned_partitions.lock() {
+            owned.clear();
+        }
+        node.decision_log.write(
+            "ownership",
+            json!({ "outcome": "handed over", "silent_ms": node.log_silence().as_millis() as u64 }),
+        );
+    }
+    has_left
+}
+
+/// Removes a member from the group for an instance that the log does not answer.
+pub(crate) async fn leave_for(node: &Node, member: &str) -> Reply {
+    match node.is_log_reachable() {
+        true => match node.log.leave(GROUP, member, HANDOVER_TIMEOUT).await {
+            Ok(()) | Err(Error::UnknownMember) => Reply::Done,
+            Err(_) => Reply::Unknown,
+        },
+        false => Reply::Unavailable,
+    }
+}
+
 /// Removes members that earlier processes of this instance left in the group.
 async fn remove_previous_memberships(node: &Node) {
     if let Ok(holders) = node.log.owners(GROUP, CALL_TIMEOUT).await {
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -172,6 +172,12 @@
         self.log_reachability().is_reachable(clock::now().mono)
     }
 
+    /// Returns whether this instance should give up the partitions that it owns, as the log
+    /// does not answer it.
+    pub(crate) fn should_hand_over(&self) -> bool {
+        self.owns_any() && self.log_reachability().calls_for_handover(clock::now().mono)
+    }
+
     /// Returns the time since the log's last answer.
     pub(crate) fn log_silence(&self) -> Duration {
         self.log_reachability().silence(clock::now().mono)
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 use crate::owner::{self, Event};
 use crate::server::{self, HttpResponse};
-use crate::{coordinator, request_log};
+use crate::{coordinator, group, request_log};
 
 /// Time limit of a call. It is short because an owner answers from memory.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -76,6 +76,7 @@
         Call::Vacate { part, workers, wait } => owner::call_local(node, part, |reply| Event::VacateRequest(workers, wait, reply)).await,
         Call::Loads { part } => owner::call_local(node, part, Event::LoadsQuery).await,
         Call::AppendRecords { part, records } => request_log::handle_call(node, part, records).await,
+        Call::Leave { member } => group::leave_for(node, &member).await,
         Call::Report(report) => coordinator::handle_report(node, report),
     }
 }
--- a/lib/src/reachability.rs
+++ b/lib/src/reachability.rs
@@ -13,6 +13,11 @@
 /// out. It is longer than reads of the log wait for records.
 const MAX_SILENCE: Duration = Duration::from_millis(2500);
 
+/// Time without any answer after which an owner gives its partitions up, if another instance
+/// can reach the log. An owner reads the list of workers every 200 ms, so that is no single
+/// lost answer; its membership in the group would last for 2 s.
+const HANDOVER_AFTER: Duration = Duration::from_millis(800);
+
 /// Answers and failures of calls to the log; times are monotonic.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reachability {
@@ -38,6 +43,12 @@
         now.saturating_sub(self.last_answer)
     }
 
+    /// Whether an owner should give its partitions up: it can record no placement, and work
+    /// waits until another instance owns them.
+    pub fn calls_for_handover(&self, now: Duration) -> bool {
+        HANDOVER_AFTER <= self.silence(now)
+    }
+
     /// Whether the log answers, as far as is known.
     pub fn is_reachable(&self, now: Duration) -> bool {
         self.last_answer != Duration::ZERO && self.silence(now) < MAX_SILENCE && self.last_timeout <= self.last_answer
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -60,6 +60,11 @@
         /// Partition whose workers are meant.
         part: PartitionId,
     },
+    /// Removes a member from the group of owners on its behalf, as the log does not answer it.
+    Leave {
+        /// Name of the member.
+        member: String,
+    },
     /// Reports an owner's usage to the coordinator, which answers with its grants.
     Report(UsageReport),
 }
--- a/lib/tests/test_reachability.rs
+++ b/lib/tests/test_reachability.rs
@@ -40,3 +40,15 @@
     assert!(log.is_reachable(at(2400)));
     assert!(!log.is_reachable(at(2500)));
 }
+
+#[test]
+fn an_owner_that_the_log_turns_away_hands_over_before_its_membership_lapses() {
+    // Replays large, scale-2: the log refused a third of the instances, among them the owner
+    // of the pool in its turn, which placed nothing for 2.4 s.
+    let mut log = Reachability::default();
+    for ms in (0..1000).step_by(200) {
+        log.record_answer(at(ms));
+        assert!(!log.calls_for_handover(at(ms + 400)), "single answers may be lost");
+    }
+    assert!(log.calls_for_handover(at(1600)));
+}
