fleet: a job too large for a record is refused; reading of the change

Cause: requests share appends now, so one record that the log refuses would fail the others of its batch. A job of 262 KB with long lists of earlier steps takes more as a record than as JSON. Change: 413 for such a job before it is queued.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -29,6 +29,9 @@
 
 /// Maximum size of a request body, bytes. The platform has the same limit.
 const MAX_BODY_BYTES: usize = 262_144;
+/// Maximum size of a request's record, bytes: that of the log, less its key. Requests share
+/// appends, and one that the log refuses would fail the others.
+const MAX_RECORD_BYTES: usize = 262_144 - 64;
 /// Deadline of a request that does not set one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 /// Time reserved before the caller's deadline for the response to reach the caller.
@@ -182,7 +185,11 @@
         }
     }
     let part = node.partition_of(&target.queue.pool);
-    match store_request(node, part, id, job_record::Request::Submit(submission), target.deadline).await {
+    let request = job_record::Request::Submit(submission);
+    if MAX_RECORD_BYTES < request_log::encode(&request).len() {
+        return error_response(StatusCode::PAYLOAD_TOO_LARGE, "the job is too large for a record of the log");
+    }
+    match store_request(node, part, id, request, target.deadline).await {
         Reply::Done => server::json_response(StatusCode::OK, caller::status_body(JobStatus::Queued)),
         Reply::Unavailable => unavailable_response(log_cause(node)),
         _ => error_response(StatusCode::GATEWAY_TIMEOUT, "the log did not answer; the job may have been taken"),
@@ -211,8 +218,8 @@
     }
 }
 
-/// Appends a request to the log, alternating between the routes. Returns `Done` once the request is in the log,
-/// `Unavailable` if it certainly is not, and `Unknown` if it may be.
+/// Appends a request to the log, alternating between the routes. Returns `Done` once the
+/// request is in the log, `Unavailable` if it certainly is not, and `Unknown` if it may be.
 async fn store_request(node: &Arc<Node>, part: PartitionId, id: &JobKey, request: job_record::Request, deadline: Instant) -> Reply {
     let refuse_at = Instant::now() + PATIENCE;
     let mut possibly_stored = false;
--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -92,6 +92,7 @@
     pub(crate) fencing_token: u64,
     /// Position of the next append to [`COORDINATOR`].
     position: AppendPosition,
+    /// Recent orders of this coordinator and of earlier ones.
     orders: OrderHistory,
 }
 
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -5,7 +5,6 @@
 //! results come back as events, so the scheduler itself never waits.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -482,26 +481,3 @@
     };
     node.metrics.orders.with_label_values(&[order, outcome]).inc();
 }
-
-/// Sends a query to a partition owner in this process and waits for its reply.
-pub(crate) async fn call_local<F>(node: &Node, part: PartitionId, event: F) -> Reply
-where
-    F: FnOnce(oneshot::Sender<Reply>) -> Event,
-{
-    let Some(owned) = node.owned_partition(part) else {
-        return Reply::NotOwner;
-    };
-    let (reply_sender, reply_receiver) = oneshot::channel();
-    if owned.events.send(event(reply_sender)).is_err() {
-        return Reply::Unavailable;
-    }
-    reply_receiver.await.unwrap_or(Reply::Unavailable)
-}
-
-/// Returns the peer address of a partition's owner, or `None` if the owner is not known.
-pub(crate) fn owner_address(node: &Node, part: PartitionId) -> Option<SocketAddr> {
-    if node.owned_partition(part).is_some() {
-        return Some(node.settings.peer_addr);
-    }
-    node.owners.load().get(&part).copied()
-}
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -11,9 +11,10 @@
 use oriole_daemon::client;
 use oriolewall::platform;
 use oriolewall::rpc::{Call, PartitionId, Reply};
+use tokio::sync::oneshot;
 
 use crate::node::Node;
-use crate::owner::{self, Event};
+use crate::owner::Event;
 use crate::server::{self, HttpResponse};
 use crate::{coordinator, group, request_log};
 
@@ -25,7 +26,7 @@
 /// Calls the owner of a partition, in this process or over HTTP. If the owner is not
 /// known or may have changed, a new read of the owners is requested.
 pub(crate) async fn call(node: &Arc<Node>, part: PartitionId, call: Call) -> Reply {
-    let Some(addr) = owner::owner_address(node, part) else {
+    let Some(addr) = owner_address(node, part) else {
         node.refresh_owners.notify_one();
         return Reply::NotOwner;
     };
@@ -71,12 +72,35 @@
 /// Carries out a call for which this instance is the receiver.
 async fn handle_call(node: &Arc<Node>, call: Call) -> Reply {
     match call {
-        Call::Status { part, id, team } => owner::call_local(node, part, |reply| Event::StatusQuery(id, team, reply)).await,
-        Call::Pending { part, queue } => owner::call_local(node, part, |reply| Event::PendingQuery(queue, reply)).await,
-        Call::Vacate { part, workers, wait } => owner::call_local(node, part, |reply| Event::VacateRequest(workers, wait, reply)).await,
-        Call::Loads { part } => owner::call_local(node, part, Event::LoadsQuery).await,
+        Call::Status { part, id, team } => call_local(node, part, |reply| Event::StatusQuery(id, team, reply)).await,
+        Call::Pending { part, queue } => call_local(node, part, |reply| Event::PendingQuery(queue, reply)).await,
+        Call::Vacate { part, workers, wait } => call_local(node, part, |reply| Event::VacateRequest(workers, wait, reply)).await,
+        Call::Loads { part } => call_local(node, part, Event::LoadsQuery).await,
         Call::AppendRecords { part, records } => request_log::handle_call(node, part, records).await,
         Call::Leave { member } => group::leave_for(node, &member).await,
         Call::Report(report) => coordinator::handle_report(node, report),
     }
 }
+
+/// Sends a query to a partition owner in this process and waits for its reply.
+async fn call_local<F>(node: &Node, part: PartitionId, event: F) -> Reply
+where
+    F: FnOnce(oneshot::Sender<Reply>) -> Event,
+{
+    let Some(owned) = node.owned_partition(part) else {
+        return Reply::NotOwner;
+    };
+    let (reply_sender, reply_receiver) = oneshot::channel();
+    if owned.events.send(event(reply_sender)).is_err() {
+        return Reply::Unavailable;
+    }
+    reply_receiver.await.unwrap_or(Reply::Unavailable)
+}
+
+/// Returns the peer address of a partition's owner, or `None` if the owner is not known.
+fn owner_address(node: &Node, part: PartitionId) -> Option<SocketAddr> {
+    if node.owned_partition(part).is_some() {
+        return Some(node.settings.peer_addr);
+    }
+    node.owners.load().get(&part).copied()
+}
