owner: starts under way are limited to what is answered in time

An owner now places no more runs than a window whose order may be unanswered. It grows with answers in time and is halved, at most once for each order's round, when an answer takes half the expiry or the order was refused as late. What waits stays in the queue instead of in commits. Lost answers, and refusals that tell of the worker, leave it alone.

A line `overloaded` and a counter tell on-call of it.

--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -44,6 +44,8 @@
     pub(crate) unexpected_runs: IntCounter,
     /// Restarts of workers under their name.
     pub(crate) worker_restarts: IntCounter,
+    /// Times that an owner was found to be overloaded and lowered its limit on starts.
+    pub(crate) overloads: IntCounter,
     /// Failed calls to the log service.
     pub(crate) log_errors: IntCounter,
     /// Number of partitions that this instance owns.
@@ -95,6 +97,7 @@
                 "Runs that workers list and the owner did not expect",
             ),
             worker_restarts: counter("oriole_worker_restarts_total", "Restarts of workers"),
+            overloads: counter("oriole_owner_overloads_total", "Times an owner lowered its limit on starts"),
             log_errors: counter("oriole_log_errors_total", "Failed calls to the log"),
             owned_partitions: gauge("oriole_partitions_owned", "Partitions owned"),
             connections_opened: gauge("oriole_connections_opened", "Connections opened since start"),
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -446,6 +446,10 @@
             Decision::Contact { .. } => "contact",
             Decision::Suspect { .. } => "suspect",
             Decision::Silent { .. } => "silent",
+            Decision::Overloaded { .. } => {
+                self.node.metrics.overloads.inc();
+                "overloaded"
+            }
             Decision::Interrupted { .. } => "interrupted",
         };
         let line = DecisionLine {
--- a/lib/src/commit.rs
+++ b/lib/src/commit.rs
@@ -107,6 +107,7 @@
         run.phase = RunPhase::Sent;
         run.order_expires_ms = expires_ms;
         run.contact = contact;
+        self.start_window.order(now.mono, &key);
         self.log_decision(Decision::Ordered {
             job: key.task.job.clone(),
             task: (key.task.turn, key.task.step, key.task.index),
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -140,6 +140,13 @@
         /// Number of runs that may be taking place there.
         runs: usize,
     },
+    /// Starts were answered too late, so the owner starts fewer runs at the same time.
+    Overloaded {
+        /// Most runs whose start order may be unanswered at the same time.
+        limit: usize,
+        /// Number of open jobs.
+        open_jobs: usize,
+    },
     /// A worker that does not answer is recorded as silent in the log.
     Silent {
         /// Worker that does not answer.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,6 +44,7 @@
 //! - [`query`]: read-only queries on an owner's state.
 //! - [`quota`]: division of teams' caps among owners.
 //! - [`silent_worker`]: log records of workers that do not answer.
+//! - [`start_window`]: limit on the runs that an owner starts at the same time.
 //! - [`acceptance`]: routes of callers' requests to the log.
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
@@ -107,6 +108,7 @@
 pub mod silent_worker;
 pub mod snapshot;
 pub mod spec;
+pub mod start_window;
 pub mod state;
 mod throttle;
 pub mod tree;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -48,8 +48,9 @@
 }
 
 impl Scheduler {
-    /// Places waiting tasks, most urgent jobs first. Does nothing for a short time after a worker
-    /// rejected a task for lack of room.
+    /// Places waiting tasks, most urgent jobs first, as many as may be started at the same time. A
+    /// gang is placed as a whole beyond that. Does nothing for a short time after a worker rejected
+    /// a task for lack of room.
     pub(crate) fn place_waiting_tasks(&mut self, now: Now) {
         if now.mono < self.placement_resumes_at {
             return;
@@ -63,6 +64,9 @@
             if is_over(blocked_by_room.get(&pool)) || is_over(blocked_by_team.get(&team)) {
                 continue;
             }
+            if self.start_window.is_full() {
+                return;
+            }
             match self.place_job(now, &id) {
                 None => {}
                 Some(Shortage::Room) => *blocked_by_room.entry(pool).or_default() += 1,
@@ -152,6 +156,9 @@
     /// it was not.
     fn place_each(&mut self, now: Now, group: &[TaskKey]) -> Option<Shortage> {
         for task in group {
+            if self.start_window.is_full() {
+                return None;
+            }
             let Some(worker) = self.choose_worker(now, task) else {
                 self.request_advice(now, task);
                 return Some(self.shortage(task));
@@ -303,6 +310,7 @@
         worker.add(key.clone(), intended);
         self.candidates.insert(worker);
         *self.usage.entry(team).or_default() += need;
+        self.start_window.add(key.clone());
         self.pending_starts.push((id.clone(), key));
         self.mark_dirty(&task.job);
         self.log_decision(Decision::Placed {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::moved_queue::HandedOn;
 use crate::order::{Action, ContactId, MAX_CONTACT};
 use crate::resources::Resources;
+use crate::start_window::Window;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
 
 /// Time after which a worker must no longer carry out an order to start a run.
@@ -148,6 +149,8 @@
     pub(crate) expired_jobs: Vec<JobKey>,
     /// Runs placed since the last commit; the next one records them, then they are started.
     pub(crate) pending_starts: Vec<(InstanceId, RunKey)>,
+    /// Limits the runs that are placed and whose start is not answered.
+    pub(crate) start_window: Window,
     pub(crate) in_flight_commit: Option<Batch>,
     pub(crate) last_commit: Duration,
     /// Submissions whose jobs are recorded, to be removed from the log.
@@ -193,6 +196,7 @@
             dirty_jobs: BTreeSet::new(),
             expired_jobs: Vec::new(),
             pending_starts: Vec::new(),
+            start_window: Window::default(),
             in_flight_commit: None,
             last_commit: Duration::ZERO,
             processed_submissions: Vec::new(),
@@ -435,6 +439,7 @@
     pub(crate) fn release_run(&mut self, id: &InstanceId, key: &RunKey) -> Option<Run> {
         let run = self.workers.get_mut(id)?.remove(key)?;
         self.unexpected_runs.remove(key);
+        self.start_window.remove(key);
         if let Some(usage) = self.usage.get_mut(&run.team) {
             *usage -= run.need;
         }
@@ -458,6 +463,7 @@
     pub(crate) fn requeue_lost_runs(&mut self, id: &InstanceId, runs: Vec<(RunKey, Run)>, how: &'static str) {
         for (key, run) in runs {
             self.unexpected_runs.remove(&key);
+            self.start_window.remove(&key);
             if let Some(usage) = self.usage.get_mut(&run.team) {
                 *usage -= run.need;
             }
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -9,6 +9,7 @@
 use crate::job_record::{JobPhase, TaskKey, TaskState};
 use crate::order::{ActiveRun, ContactId, OrderOutcome, Refusal, RunEnd, RunOutcome, WorkerStatus};
 use crate::scheduler::{ENDS_PAGE_SIZE, MIN_STATUS_INTERVAL, PLACEMENT_PAUSE, STATUS_RETRY, Scheduler};
+use crate::start_window::Answer;
 use crate::worker::{Run, RunKey, RunPhase};
 
 impl Scheduler {
@@ -130,6 +131,15 @@
 
     /// Handles the answer to a start order that was sent under a contact.
     pub fn start_answered(&mut self, now: Now, id: &InstanceId, key: &RunKey, contact: ContactId, outcome: OrderOutcome) {
+        let answer = match outcome {
+            OrderOutcome::Done { .. } => Answer::Started,
+            OrderOutcome::Refused(Refusal::Late) => Answer::Late,
+            OrderOutcome::Refused(_) | OrderOutcome::Lost => Answer::Other,
+        };
+        if self.start_window.settle(now.mono, key, answer) {
+            let (limit, open_jobs) = (self.start_window.limit(), self.open_jobs.len());
+            self.log_decision(Decision::Overloaded { limit, open_jobs });
+        }
         match outcome {
             OrderOutcome::Done { clock_ms } => {
                 self.mark_started(&key.task.job);
