group: small instances give partitions back to larger ones

A small instance stayed a member until its process ended. It now leaves once three larger members have owned partitions for 1.2 s, which cannot call it again: it steps in only while there are fewer than three owners. Not measured yet.

--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -11,12 +11,14 @@
 use std::time::Duration;
 
 use oriole_platform::log::{Error, GroupAssignment, PartitionHolder};
+use oriolewall::owner_shortage::{Census, Watch};
 use oriolewall::rpc::{Call, PartitionId, Reply};
 use serde_json::json;
 use tokio::sync::mpsc;
 
 use crate::node::{Node, OwnedPartition};
 use crate::owner::{self, Event};
+use crate::settings::Settings;
 use crate::{clock, peer, watch};
 
 /// Name of the group of partition owners in the log service.
@@ -41,11 +43,10 @@
 /// Minimum CPU, in millicores, with which an instance owns partitions while there are
 /// enough owners. The owner of a pool that starts 1,600 tasks per second uses 400.
 const MIN_OWNER_MILLICORES: u64 = 200;
-/// Number of owners below which instances with less CPU join as well. Three tolerate
-/// the loss of one of three availability zones and of one more owner.
-const MIN_OWNERS: usize = 3;
+/// Suffix of the member names of instances with less CPU.
+const SMALL_SUFFIX: &str = ".small";
 /// Minimum time for which there have to be too few owners before a small instance
-/// joins. Members that died stay listed for 2 s.
+/// joins, and enough larger ones before it leaves. Members that died stay listed for 2 s.
 const MIN_SHORTAGE_TIME: Duration = Duration::from_millis(1200);
 /// Time over which the joins of small instances are spread at random, as otherwise
 /// all of them would join at once.
@@ -54,9 +55,10 @@
 /// Keeps this instance in the group and runs an owner for each partition assigned to it.
 pub(crate) async fn run(node: Arc<Node>) {
     remove_previous_memberships(&node).await;
-    if node.settings.cpu_millis < MIN_OWNER_MILLICORES {
+    if is_small(&node.settings) {
         wait_for_owner_shortage(&node).await;
     }
+    let mut larger_owners = Watch::new(MIN_SHORTAGE_TIME);
     let mut generation = 0;
     let mut timeout = JOIN_TIMEOUT.0;
     let mut attempts = 0;
@@ -80,6 +82,15 @@
                     generation = 0;
                     continue;
                 }
+                if is_small(&node.settings) && larger_owners.calls_for_return(clock::now().mono, **node.owner_census.load()) {
+                    node.decision_log
+                        .write("ownership", json!({ "parts": assignment.parts, "outcome": "giving back" }));
+                    leave(&node).await;
+                    wait_for_owner_shortage(&node).await;
+                    larger_owners.reset();
+                    generation = 0;
+                    continue;
+                }
                 if changed {
                     node.refresh_owners.notify_one();
                     // A join at the new generation confirms that this member has released
@@ -107,21 +118,32 @@
     }
 }
 
-/// Waits until there are too few owners for this instance to join. It then stays a
-/// member until the process ends, as leaving would move its partitions once more.
+/// Returns whether an instance has too little CPU to own partitions while there are enough
+/// larger ones.
+fn is_small(settings: &Settings) -> bool {
+    settings.cpu_millis < MIN_OWNER_MILLICORES
+}
+
+/// Returns the name in the group of an instance whose process started at a Unix time.
+pub(crate) fn member_name(settings: &Settings, started_ms: u64) -> String {
+    let suffix = if is_small(settings) { SMALL_SUFFIX } else { "" };
+    format!("{}@{started_ms}{suffix}", settings.peer_addr)
+}
+
+/// Waits until there are too few owners, so that this instance joins.
 async fn wait_for_owner_shortage(node: &Node) {
     let delay = JOIN_SPREAD.mul_f64(rand::random::<f64>()) + MIN_SHORTAGE_TIME;
-    let mut shortage_since = None;
+    let mut shortage = Watch::new(delay);
     loop {
-        let owners: HashSet<SocketAddr> = node.owners.load().values().copied().collect();
-        let now = clock::now().mono;
-        if MIN_OWNERS <= owners.len() || !node.is_log_reachable() {
-            shortage_since = None;
-        } else if *shortage_since.get_or_insert(now) + delay <= now {
+        let owners = **node.owner_census.load();
+        if !node.is_log_reachable() {
+            shortage.reset();
+        } else if shortage.calls_for_step_in(clock::now().mono, owners) {
+            let owners = owners.large + owners.small;
             node.decision_log
-                .write("ownership", json!({ "owners": owners.len(), "outcome": "stepping in" }));
+                .write("ownership", json!({ "owners": owners, "outcome": "stepping in" }));
             return;
-        } else {
+        } else if shortage.is_counting() {
             node.refresh_owners.notify_one();
         }
         tokio::time::sleep(JOIN_INTERVAL).await;
@@ -242,6 +264,7 @@
         if let Ok(holders) = node.log.owners(GROUP, CALL_TIMEOUT).await {
             watch::report_log_answer(&node, true);
             node.owners.store(Arc::new(owner_addresses(&holders)));
+            node.owner_census.store(Arc::new(count_owners(&holders)));
             remove_ended_members(&node, holders).await;
         }
         let interval = match node.is_log_reachable() {
@@ -262,3 +285,13 @@
     let address = |it: &PartitionHolder| Some((it.part, it.member.split('@').next()?.parse().ok()?));
     holders.iter().filter_map(address).collect()
 }
+
+/// Counts the members that own partitions, by size.
+fn count_owners(holders: &[PartitionHolder]) -> Census {
+    let members: HashSet<&str> = holders.iter().map(|it| it.member.as_str()).collect();
+    let small = members.iter().filter(|it| it.ends_with(SMALL_SUFFIX)).count();
+    Census {
+        large: members.len() - small,
+        small,
+    }
+}
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -12,6 +12,7 @@
 use oriole_platform::log::LogClient;
 use oriolewall::catalog::Catalog;
 use oriolewall::id::{InstanceId, PoolId};
+use oriolewall::owner_shortage::Census;
 use oriolewall::reachability::Reachability;
 use oriolewall::rpc::PartitionId;
 use oriolewall::worker::ListedWorker;
@@ -23,7 +24,7 @@
 use crate::owner::Event;
 use crate::request_log::RequestLog;
 use crate::settings::{PlatformBounds, Settings};
-use crate::{clock, decision_log};
+use crate::{clock, decision_log, group};
 
 /// Time after the sending of a confirmed join during which the coordinator may act.
 /// With the time for an order to arrive it stays below the member's time to live.
@@ -51,7 +52,8 @@
     pub(crate) settings: Settings,
     /// Limits of the platform, as last read from the settings file.
     pub(crate) bounds: ArcSwap<PlatformBounds>,
-    /// Name of this process in the group of owners: its peer address and start time.
+    /// Name of this process in the group of owners: its peer address and start time, and a suffix
+    /// if it has little CPU.
     pub(crate) member: String,
     pub(crate) log: Log,
     pub(crate) request_log: RequestLog,
@@ -70,6 +72,8 @@
     pub(crate) worker_list_read_at: watch::Sender<Duration>,
     /// Owners in all processes, as last read from the group.
     pub(crate) owners: ArcSwap<Owners>,
+    /// Number of those owners by size.
+    pub(crate) owner_census: ArcSwap<Census>,
     /// Requests a new read of `owners`.
     pub(crate) refresh_owners: tokio::sync::Notify,
     /// Partitions whose owner runs in this process.
@@ -95,7 +99,7 @@
 
 impl Node {
     pub(crate) fn new(settings: Settings) -> Node {
-        let member = format!("{}@{}", settings.peer_addr, clock::now().wall_ms());
+        let member = group::member_name(&settings, clock::now().wall_ms());
         let metrics = Metrics::new();
         Node {
             log: Log::new(LogClient::new(settings.log_addr), metrics.log_resends.clone()),
@@ -110,6 +114,7 @@
             worker_list_read_at: watch::Sender::new(Duration::ZERO),
             partition_acquired: tokio::sync::Notify::new(),
             owners: ArcSwap::from_pointee(HashMap::new()),
+            owner_census: ArcSwap::default(),
             refresh_owners: tokio::sync::Notify::new(),
             owned_partitions: Mutex::new(HashMap::new()),
             coordinator_state: Mutex::new(CoordinatorState::default()),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,6 +50,7 @@
 //! - [`resend`]: when a call to the log is sent again.
 //! - [`forecast`]: work that will arrive for a pool.
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
+//! - [`owner_shortage`]: when instances with little CPU own partitions.
 //! - [`reachability`]: whether the log answers an instance.
 //! - [`order_history`]: recent orders of fleet coordinators to instances.
 //! - [`advice`]: advice on which workers may run a step.
@@ -88,6 +89,7 @@
 mod moved_queue;
 pub mod order;
 pub mod order_history;
+pub mod owner_shortage;
 mod peer;
 mod placement;
 pub mod platform;
