owner: a join confirms no ownership that may have been interrupted

An owner whose partition went to another instance and came back between two joins went on under its old epoch: it renewed leases and started runs, while the other owner might have given runs up on workers that it could not reach and placed their tasks again. The coordinator likewise went on dividing caps by what it knew from before, without what the other one had granted.

Cause: a join answers with the partitions that are held now. It was taken as proof that they had been held ever since the last one.

Change: a partition that goes away and comes back changes hands twice, and each change raises the generation. So a join at the generation of the last one or at the next confirms the ownership as before. After any other join the owner asks the log by an empty append under (epoch, 0), the one that has set its epoch. `fenced` ends it, and the next join takes the partition over under the present generation; another answer confirms it at the time at which the question was sent. The question uses up no sequence number: it repeats the append by which the epoch was set, and anything later under the epoch has a higher number. Leases are renewed meanwhile as long as the last confirmation allows. The coordinator takes the generation since which it has held its partition as its epoch, so it begins a new session with a new division of caps; a member is confirmed only after its assignment was applied.

What stays open: an owner that sets its epoch only after it has lost the partition and after the question was answered is noticed with the next commit, as before.

--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -1,8 +1,8 @@
 //! Fleet coordinator: divides teams' caps among partition owners, moves instances
 //! between pools, and runs maintenance waves.
 //!
-//! The owner of [`COORDINATOR_PART`] is the coordinator. Its epoch as the owner of
-//! that partition is the fencing token of its orders.
+//! The owner of [`COORDINATOR_PART`] is the coordinator. The generation of the group since
+//! which it has held that partition is its epoch and the fencing token of its orders.
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -64,8 +64,10 @@
     parts.sort_unstable();
     parts.dedup();
     let mut state = node.lock_coordinator_state();
-    if state.allocator.as_ref().is_none_or(|(epoch, _)| *epoch != owned.epoch) {
-        state.allocator = Some((owned.epoch, QuotaAllocator::new(now)));
+    // Another coordinator may have granted caps since the end of an earlier tenure.
+    let epoch = owned.tenure.since();
+    if state.allocator.as_ref().is_none_or(|(it, _)| *it != epoch) {
+        state.allocator = Some((epoch, QuotaAllocator::new(now)));
     }
     for (pool, load) in &report.loads {
         state.loads.insert(pool.clone(), (load.clone(), now));
@@ -136,7 +138,7 @@
             && node.is_member()
             && node
                 .owned_partition(COORDINATOR_PART)
-                .is_some_and(|it| it.epoch == self.fencing_token)
+                .is_some_and(|it| it.tenure.since() == self.fencing_token)
     }
 
     /// Appends a record for the next coordinator. Returns whether it is in the log.
@@ -184,8 +186,9 @@
         if !node.is_member() {
             continue;
         }
-        if active.as_ref().is_none_or(|(session, _, _)| session.fencing_token != owned.epoch) {
-            active = match CoordinatorSession::start(&node, owned.epoch).await {
+        let epoch = owned.tenure.since();
+        if active.as_ref().is_none_or(|(session, _, _)| session.fencing_token != epoch) {
+            active = match CoordinatorSession::start(&node, epoch).await {
                 Ok((session, newest)) => Some((session, MaintenanceWaves::restore(newest), Planner::default())),
                 Err(err) => {
                     watch::report_log_error(&node, "duties", &err);
--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -12,6 +12,7 @@
 
 use oriole_platform::log::{Error, GroupAssignment, PartitionHolder};
 use oriolewall::rpc::{Call, PartitionId, Reply};
+use oriolewall::tenure::Tenure;
 use serde_json::json;
 use tokio::sync::mpsc;
 
@@ -68,7 +69,6 @@
             Ok(assignment) => {
                 watch::report_log_answer(&node, true);
                 timeout = JOIN_TIMEOUT.0;
-                node.confirm_member(sent.mono);
                 let changed = assignment.generation != generation;
                 generation = assignment.generation;
                 if !apply_assignment(&node, &assignment, sent.mono) {
@@ -80,6 +80,7 @@
                     generation = 0;
                     continue;
                 }
+                node.confirm_member(sent.mono);
                 if changed {
                     node.refresh_owners.notify_one();
                     // A join at the new generation confirms that this member has released
@@ -142,9 +143,11 @@
         );
     }
     for part in &assignment.parts {
-        if let Some(owner) = owned.get(part).filter(|it| !it.events.is_closed()) {
+        if let Some(owner) = owned.get_mut(part).filter(|it| !it.events.is_closed()) {
+            owner.tenure.extend(assignment.generation);
+            let since = owner.tenure.since();
             // The owner may have ended since the check; the next join handles that.
-            let _ = owner.events.send(Event::OwnershipConfirmed(sent));
+            let _ = owner.events.send(Event::PartitionListed { since, sent });
             continue;
         }
         if owned.get(part).is_some_and(|it| assignment.generation <= it.epoch) {
@@ -160,7 +163,8 @@
         node.decision_log
             .write("ownership", json!({ "part": part, "generation": epoch, "outcome": "won" }));
         tokio::spawn(owner::run(node.clone(), *part, epoch, events.clone(), receiver));
-        owned.insert(*part, OwnedPartition { epoch, events });
+        let tenure = Tenure::new(epoch);
+        owned.insert(*part, OwnedPartition { epoch, tenure, events });
         node.partition_acquired.notify_one();
     }
     true
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -14,6 +14,7 @@
 use oriolewall::id::{InstanceId, PoolId};
 use oriolewall::reachability::Reachability;
 use oriolewall::rpc::PartitionId;
+use oriolewall::tenure::Tenure;
 use oriolewall::worker::ListedWorker;
 use tokio::sync::{mpsc, watch};
 
@@ -37,6 +38,8 @@
     /// Generation of the group at which this instance acquired the partition. It
     /// fences the writes and orders of earlier owners.
     pub(crate) epoch: u64,
+    /// Time for which this instance has held the partition.
+    pub(crate) tenure: Tenure,
     /// Input of the owner's event loop.
     pub(crate) events: mpsc::UnboundedSender<Event>,
 }
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -22,6 +22,7 @@
 use oriolewall::resources::Resources;
 use oriolewall::rpc::{Call, PartitionId, Reply, RequestRecord, UsageReport};
 use oriolewall::scheduler::Scheduler;
+use oriolewall::tenure::{Claim, Generation, Verdict};
 use oriolewall::worker::{ListedWorker, RunKey};
 use serde::Serialize;
 use serde_json::json;
@@ -29,7 +30,7 @@
 use tokio::task::JoinSet;
 
 use crate::node::Node;
-use crate::takeover::{decode_requests, follow_requests, still_owned, take_over};
+use crate::takeover::{decode_requests, follow_requests, set_epoch, still_owned, take_over};
 use crate::{clock, coordinator, peer, request_log, watch};
 
 /// Time limit of a call to the log.
@@ -60,8 +61,16 @@
     CatalogChanged,
     /// The list of workers changed.
     WorkerListChanged,
-    /// The group confirmed the ownership in answer to a join sent at this monotonic time.
-    OwnershipConfirmed(Duration),
+    /// The group listed the partition in answer to a join.
+    PartitionListed {
+        /// Start of the tenure in which this instance holds the partition.
+        since: Generation,
+        /// Monotonic time at which the join was sent.
+        sent: Duration,
+    },
+    /// The log was asked in a tenure whether a later owner has set its epoch: at this monotonic
+    /// time there was none, or the call failed.
+    OwnershipChecked(Generation, Result<Duration, Error>),
     /// A worker answered a status request under a contact, or the request failed.
     StatusReceived(InstanceId, ContactId, Result<WorkerStatus, OrderOutcome>),
     /// An order to start a run was answered or failed.
@@ -97,6 +106,8 @@
     node: Arc<Node>,
     part: PartitionId,
     epoch: u64,
+    /// Whether the group's answers confirm the ownership.
+    claim: Claim,
     /// Sender to this owner's own event loop, for the results of calls.
     events: mpsc::UnboundedSender<Event>,
     scheduler: Scheduler,
@@ -151,6 +162,7 @@
     let mut owner = Owner {
         part,
         epoch,
+        claim: Claim::new(epoch),
         events: events.clone(),
         scheduler,
         workers: HashMap::new(),
@@ -242,7 +254,8 @@
             }
             Event::CatalogChanged => self.refresh_catalog(),
             Event::WorkerListChanged => self.refresh_workers(),
-            Event::OwnershipConfirmed(at) => self.scheduler.confirm_ownership(at),
+            Event::PartitionListed { since, sent } => self.partition_listed(since, sent),
+            Event::OwnershipChecked(since, result) => self.ownership_checked(since, result),
             Event::StatusReceived(id, contact, Ok(status)) => self.scheduler.status_received(now, &id, contact, status),
             Event::StatusReceived(id, contact, Err(answer)) => self.scheduler.status_failed(now, &id, contact, answer),
             Event::StartAnswered(id, key, contact, answer) => self.scheduler.start_answered(now, &id, &key, contact, answer),
@@ -277,6 +290,48 @@
         }
     }
 
+    /// Confirms the ownership by an answer of the group. If another owner may have held the
+    /// partition before that answer, asks the log instead. Leases are renewed meanwhile, as long as
+    /// the last confirmation allows.
+    fn partition_listed(&mut self, since: Generation, sent: Duration) {
+        match self.claim.listed(since) {
+            Verdict::Confirmed => self.scheduler.confirm_ownership(sent),
+            Verdict::Pending => {}
+            Verdict::AskLog => {
+                self.log_ownership(since, "unconfirmed");
+                let (node, events, part, epoch) = (self.node.clone(), self.events.clone(), self.part, self.epoch);
+                self.background_tasks.spawn(async move {
+                    let sent = clock::now().mono;
+                    let result = set_epoch(&node, part, epoch).await;
+                    let _ = events.send(Event::OwnershipChecked(since, result.map(|()| sent)));
+                });
+            }
+        }
+    }
+
+    /// Handles the log's answer on whether a later owner has set its epoch.
+    fn ownership_checked(&mut self, since: Generation, result: Result<Duration, Error>) {
+        match result {
+            Ok(sent) => {
+                self.claim.prove(since);
+                self.scheduler.confirm_ownership(sent);
+                self.log_ownership(since, "confirmed by the log");
+            }
+            Err(Error::Fenced) => self.scheduler.fence(),
+            Err(err) => {
+                self.claim.question_lost();
+                watch::report_log_error(&self.node, "epoch", &err);
+            }
+        }
+    }
+
+    fn log_ownership(&self, generation: Generation, outcome: &str) {
+        self.node.decision_log.write(
+            "ownership",
+            json!({ "part": self.part, "epoch": self.epoch, "generation": generation, "outcome": outcome }),
+        );
+    }
+
     /// Answers a query for a job's state. The answer that there is no such job is given
     /// only if requests have been read recently.
     fn status(&self, id: &JobKey, team: Option<&TeamId>) -> Reply {
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -44,12 +44,8 @@
         topic: REQUESTS,
         number: part,
     };
-    let position = AppendPosition { epoch, sequence: 0 };
-    while let Err(err) = node.log.append(jobs, Some(position), &[], CALL_TIMEOUT).await {
-        // The sequence number does not matter here: an empty append only sets the epoch,
-        // which has happened even if the log expects another number.
+    while let Err(err) = set_epoch(node, part, epoch).await {
         match err {
-            Error::OutOfSequence { .. } => break,
             Error::Fenced => return None,
             err => watch::report_log_error(node, "epoch", &err),
         }
@@ -101,6 +97,19 @@
     Some((scheduler, next))
 }
 
+/// Sets the epoch of an owner in the log. Changes nothing if it is set, and fails with
+/// [`Error::Fenced`] if a later owner has set its own.
+pub(crate) async fn set_epoch(node: &Node, part: PartitionId, epoch: u64) -> Result<(), Error> {
+    let jobs = Partition { topic: JOBS, number: part };
+    let position = AppendPosition { epoch, sequence: 0 };
+    match node.log.append(jobs, Some(position), &[], CALL_TIMEOUT).await {
+        // The sequence number does not matter here: an empty append only sets the epoch,
+        // which has happened even if the log expects another number.
+        Err(Error::OutOfSequence { .. }) => Ok(()),
+        result => result,
+    }
+}
+
 /// Returns whether this instance still owns a partition under an epoch.
 pub(crate) fn still_owned(node: &Node, part: PartitionId, epoch: u64) -> bool {
     node.owned_partition(part).is_some_and(|it| it.epoch == epoch)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,6 +50,7 @@
 //! - [`forecast`]: work that will arrive for a pool.
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`reachability`]: whether the log answers an instance.
+//! - [`tenure`]: whether another owner may have held a partition meanwhile.
 //! - [`order_history`]: recent orders of fleet coordinators to instances.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
@@ -108,6 +109,7 @@
 pub mod snapshot;
 pub mod spec;
 pub mod state;
+pub mod tenure;
 mod throttle;
 pub mod tree;
 pub mod wave;
