owner: a done run counts if the later one does not take place

What callers saw: a task was done twice, one run after the other. A worker restarted, its new incarnation carried out a start of an earlier owner and the run ended `done`; the next owner expected a later run of the task there, discarded the end and placed a third run.

Cause: ends of a status are handled before the runs that it does not list. The task still counted as placed under the later run, and the end of another run counts only while the task waits.

The unit test failed before (a third run was placed).

Change: the `done` end of a run whose task is placed on the same worker under a later run is handled after the runs that the status does not list.

--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -44,15 +44,21 @@
             });
         }
         let lists_all_ends = status.ended.len() < ENDS_PAGE_SIZE;
+        let mut listed = HashSet::new();
+        let mut done_before = Vec::new();
         for end in status.ended {
             let worker = self.workers.get_mut(id).expect("looked up above");
             if end.sequence <= worker.last_end_seen {
                 continue;
             }
             worker.last_end_seen = end.sequence;
+            if end.outcome == RunOutcome::Done && self.expects_later_run(id, &end.key) {
+                listed.insert(end.key.clone());
+                done_before.push(end);
+                continue;
+            }
             self.handle_run_end(now, id, end);
         }
-        let mut listed = HashSet::new();
         for active in &status.active {
             listed.insert(active.key.clone());
             self.update_active_run(now, id, status.clock_ms, active);
@@ -63,6 +69,10 @@
         } else if lists_all_ends {
             self.resolve_unlisted_runs(id, contact, status.clock_ms, &listed);
         }
+        // They complete their tasks if the later runs do not take place.
+        for end in done_before {
+            self.handle_run_end(now, id, end);
+        }
         self.stop_stalled(now, id);
         let worker = self.workers.get_mut(id).expect("looked up above");
         worker.next_status_request = now.mono + MIN_STATUS_INTERVAL;
@@ -392,6 +402,15 @@
         }
     }
 
+    /// Whether the record places a task on a worker under a higher run number than that of a run.
+    fn expects_later_run(&self, id: &InstanceId, key: &RunKey) -> bool {
+        let Some(record) = self.jobs.get(&key.task.job).map(|it| &it.record) else {
+            return false;
+        };
+        let task = record.position(&key.task).map(|it| &record.tasks[it]);
+        task.is_some_and(|it| key.run < it.run && it.state == TaskState::Placed(id.clone()))
+    }
+
     /// Whether a run that was given up has completed its task, which waits to be run again.
     fn completes_waiting_task(&self, end: &RunEnd) -> bool {
         let Some(tracked) = self.jobs.get(&end.key.task.job) else {
--- a/lib/tests/test_incarnation.rs
+++ b/lib/tests/test_incarnation.rs
@@ -1,10 +1,12 @@
 //! Tests of orders and leases that outlive the incarnation of the worker, or the ownership, for
 //! which they were made.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use oriolewall::order::OrderOutcome;
-use testutils::owner::{LEASE, OwnerFixture, RENEWAL_WINDOW, step, submit, worker};
+use oriolewall::order::{OrderOutcome, Refusal, RunOutcome};
+use oriolewall::query::JobStatus;
+use testutils::owner::{LEASE, OwnerFixture, RENEWAL_WINDOW, run_end, step, submit, worker};
 
 /// An owner with two workers whose start order to the first of the returned workers was sent
 /// and not answered.
@@ -213,3 +215,24 @@
         );
     }
 }
+
+#[test]
+fn a_run_that_a_new_incarnation_has_done_is_not_repeated_for_a_later_run_that_it_does_not_list() {
+    // The new owner discarded the end, as it expected the later run there, and placed a third one.
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(100);
+    let first = fixture.starts[0].clone();
+    fixture.answer_start(&first, OrderOutcome::Refused(Refusal::Late));
+    fixture.advance_ms(100);
+    assert_eq!(fixture.starts.len(), 2);
+    fixture.replace_owner();
+    fixture.refresh_config();
+    fixture.advance_ms(20);
+    let end = run_end(1, &first.key, RunOutcome::Done);
+    fixture.report_incarnation("w1", 2000, 4000, vec![], vec![end]);
+    list_start_time(&mut fixture, "w1", 2000);
+    fixture.advance_ms(100);
+    assert!(fixture.starts.is_empty(), "{:?}", fixture.starts);
+    assert_eq!(fixture.owner.job_status(&Arc::from("job"), None), Some(JobStatus::Completed));
+}
