--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -52,6 +52,7 @@
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`owner_shortage`]: when instances with little CPU own partitions.
 //! - [`reachability`]: whether the log answers an instance.
+//! - [`tenure`]: whether another owner may have held a partition meanwhile.
 //! - [`order_history`]: recent orders of fleet coordinators to instances.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
@@ -112,6 +113,7 @@
 pub mod spec;
 pub mod start_window;
 pub mod state;
+pub mod tenure;
 mod throttle;
 pub mod tree;
 pub mod wave;
