owner: pools do not stand still when the form of fencing tokens changes

During a roll from a build before, or back to it, an owner whose token is the plain epoch was refused by each worker that had seen a token with a contact. It ended, left the group, joined again, and its pools stood still until their workers restarted or an instance of the new build got them.

Cause: `epoch << 24 | contact` exceeds every plain epoch of later owners. No integer form is in order with the plain epochs on both sides, as there is no integer between two successive ones for a second contact.

`[orders] token = epoch` makes an instance send the earlier form until all instances are of this build; the default is `contact`. The contact is now an enum: under an unnumbered one an answer proves nothing about other calls of the same owner, so an unanswered order counts as running until it expires, and after a restart for as long on the new clock. An owner in epoch form does not end when a worker refuses it: if a join or commit that was sent after the refusal confirms the ownership, the higher token is a numbered one of an earlier owner, and that worker is called with numbers until its next unanswered call. So the setting can change instance by instance, and workers that restart hear the epoch form again, which rolling back to an earlier build needs.

--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -444,6 +444,7 @@
             Decision::Closed { .. } => "closed",
             Decision::Refused { .. } => "order_refused",
             Decision::Contact { .. } => "contact",
+            Decision::Numbered { .. } => "numbered",
             Decision::Suspect { .. } => "suspect",
             Decision::Silent { .. } => "silent",
             Decision::Interrupted { .. } => "interrupted",
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -9,6 +9,7 @@
 
 use oriole_daemon::settings::{Error, SettingSpec, Settings as File, ValueKind};
 use oriolewall::id::ZoneId;
+use oriolewall::order::TokenForm;
 
 /// Creates the specification of a required key.
 const fn spec(section: &'static str, key: &'static str, kind: ValueKind, help: &'static str) -> SettingSpec {
@@ -21,8 +22,13 @@
     }
 }
 
-/// Accepted keys. None has a default because the platform generates the file
-/// with every key set.
+/// Value of the setting for [`TokenForm::Epoch`].
+const EPOCH_FORM: &str = "epoch";
+/// Value of the setting for [`TokenForm::Contact`].
+const CONTACT_FORM: &str = "contact";
+
+/// Accepted keys. Only those that operators set have a default, as the platform
+/// generates the file with every other key set.
 pub const SPECS: &[SettingSpec] = &[
     spec("node", "name", ValueKind::Name, "name of this instance"),
     spec("node", "zone", ValueKind::Name, "availability zone of this instance"),
@@ -97,6 +103,13 @@
         ValueKind::Number(64, 1_048_576),
         "limit on open file descriptors of this instance",
     ),
+    SettingSpec {
+        section: "orders",
+        key: "token",
+        default: Some(CONTACT_FORM),
+        kind: ValueKind::Choice(&[CONTACT_FORM, EPOCH_FORM]),
+        help: "form of the fencing tokens in orders to workers",
+    },
 ];
 
 /// Limits that the platform guarantees, from the `[bounds]` section. They are
@@ -147,6 +160,8 @@
     pub cpu_millis: u64,
     /// Limit on open file descriptors of this instance.
     pub descriptors: usize,
+    /// Form of the fencing tokens in orders to workers.
+    pub token_form: TokenForm,
 }
 
 impl Settings {
@@ -181,6 +196,10 @@
             },
             cpu_millis: file.decimal_in_thousandths("limits", "processor"),
             descriptors: file.number("limits", "descriptors") as usize,
+            token_form: match file.text("orders", "token") {
+                EPOCH_FORM => TokenForm::Epoch,
+                _ => TokenForm::Contact,
+            },
         }
     }
 }
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -66,7 +66,7 @@
         renewal_window: RENEWAL_WINDOW,
         stop_time: node.bounds.load().stop_max,
     };
-    let mut scheduler = Scheduler::new(limits, now);
+    let mut scheduler = Scheduler::new(limits, now).with_token_form(node.settings.token_form);
     // Requests of queues that have moved to another pool are handed on.
     scheduler.set_catalog(node.catalog.load_full());
     for entry in read_newest_with_retry(node, jobs, epoch).await?.entries {
--- a/fleet/tests/test_odd_entries.rs
+++ b/fleet/tests/test_odd_entries.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use oriole_fleet::settings::{PlatformBounds, Settings};
 use oriole_platform::log::{Entry, encode_records};
+use oriolewall::order::TokenForm;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -142,6 +143,7 @@
         },
         cpu_millis: 1000,
         descriptors: 4100,
+        token_form: TokenForm::Contact,
     }
 }
 
--- a/fleet/tests/test_settings.rs
+++ b/fleet/tests/test_settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use oriole_fleet::settings::Settings;
+use oriolewall::order::TokenForm;
 
 const EXAMPLE: &str = include_str!("../../examples/fleet.ini");
 
@@ -17,6 +18,16 @@
     assert!(settings.advice_addr.is_none());
 }
 
+#[test]
+fn tokens_have_the_contact_form_unless_the_file_sets_the_other_one() {
+    let form = |text: &str| Settings::parse("fleet.ini", &format!("{EXAMPLE}{text}")).map(|it| it.token_form);
+    assert_eq!(form("").unwrap(), TokenForm::Contact);
+    assert_eq!(form("\n[orders]\ntoken = contact\n").unwrap(), TokenForm::Contact);
+    assert_eq!(form("\n[orders]\ntoken = epoch\n").unwrap(), TokenForm::Epoch);
+    let err = form("\n[orders]\ntoken = plain\n").unwrap_err().to_string();
+    assert!(err.starts_with("fleet.ini: [orders] token = \"plain\": must be one of"), "{err}");
+}
+
 #[test]
 fn error_names_file_setting_value_and_allowed_values() {
     let cases = [
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -140,6 +140,11 @@
         /// Number of runs that may be taking place there.
         runs: usize,
     },
+    /// A worker refuses the epoch alone as fencing token, and is called with numbered contacts.
+    Numbered {
+        /// Worker that has seen a numbered token of an earlier owner.
+        worker: InstanceId,
+    },
     /// A worker that does not answer is recorded as silent in the log.
     Silent {
         /// Worker that does not answer.
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -12,23 +12,44 @@
 use crate::job_record::{CancelKey, JobKey, Request};
 use crate::worker::RunKey;
 
-/// Number of a contact with a worker, counted up by the owner of its pool over all workers.
+/// Contact with a worker, under which its calls are made.
 ///
-/// Calls to a worker carry the contact in their fencing token, so a worker that was called under
-/// a contact carries out no call of an earlier one. A worker gets a new contact when the owner no
-/// longer knows what becomes of the calls that it has sent: after silence, and after a restart,
-/// in which the worker forgets the tokens that it has seen.
-pub type ContactId = u32;
+/// A worker gets a new contact when the owner no longer knows what becomes of the calls that it
+/// has sent: after silence, and after a restart, in which the worker forgets the tokens that it
+/// has seen. A worker that was called under a contact carries out no call of a lower one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ContactId {
+    /// Calls carry the epoch alone, as those of earlier builds. An answer does not tell whether
+    /// other calls of the same owner will still be carried out.
+    #[default]
+    Unnumbered,
+    /// Calls carry the epoch and this number, which the owner counts up over all workers.
+    Numbered(u32),
+}
+
+/// Form of the fencing tokens with which an owner starts to call a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TokenForm {
+    /// The epoch alone, which earlier builds use and accept. A worker that has seen a token of
+    /// the other form refuses it and is then called with that form.
+    Epoch,
+    /// The epoch and the number of the contact.
+    #[default]
+    Contact,
+}
 
-/// Number of bits of a fencing token that hold the contact.
+/// Number of bits of a fencing token that hold the number of the contact.
 const CONTACT_BITS: u32 = 24;
-/// Last contact of an ownership; one that needs more ends, and the next one counts anew.
-pub(crate) const MAX_CONTACT: ContactId = (1 << CONTACT_BITS) - 1;
+/// Last number of an ownership; one that needs more ends, and the next one counts anew.
+pub(crate) const MAX_CONTACT: u32 = (1 << CONTACT_BITS) - 1;
 
-/// Returns the fencing token of calls to a worker: higher for a later owner, and for a later
-/// contact of the same owner.
+/// Returns the fencing token of calls to a worker: higher for a later contact of the same owner,
+/// and for a later owner whose tokens have the same form.
 pub fn fencing_token(epoch: u64, contact: ContactId) -> u64 {
-    epoch << CONTACT_BITS | u64::from(contact.min(MAX_CONTACT))
+    match contact {
+        ContactId::Unnumbered => epoch,
+        ContactId::Numbered(number) => epoch << CONTACT_BITS | u64::from(number.min(MAX_CONTACT)),
+    }
 }
 
 /// How a run ended.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -21,7 +21,7 @@
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::job_record::{CancelKey, JobKey, JobPhase, JobRecord, Request, TaskKey, TaskState};
 use crate::moved_queue::HandedOn;
-use crate::order::{Action, ContactId, MAX_CONTACT};
+use crate::order::{Action, ContactId, MAX_CONTACT, TokenForm};
 use crate::resources::Resources;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
 
@@ -166,8 +166,10 @@
     /// Runs that workers list and this owner did not expect, until they have ended.
     pub(crate) unexpected_runs: HashSet<RunKey>,
     pub(crate) fenced: bool,
-    /// The contact that was begun last with any worker.
-    last_contact: ContactId,
+    /// Form of the tokens with which workers are called first.
+    pub(crate) token_form: TokenForm,
+    /// Number of the contact that was numbered last with any worker.
+    last_contact: u32,
     /// No tasks are placed before this time.
     pub(crate) placement_resumes_at: Duration,
     /// Actions that the next call to `poll` returns.
@@ -204,12 +206,19 @@
             last_cleanup: now.mono,
             unexpected_runs: HashSet::new(),
             fenced: false,
+            token_form: TokenForm::default(),
             last_contact: 0,
             placement_resumes_at: Duration::ZERO,
             actions: Vec::new(),
         }
     }
 
+    /// Sets the form of the fencing tokens.
+    pub fn with_token_form(mut self, token_form: TokenForm) -> Scheduler {
+        self.token_form = token_form;
+        self
+    }
+
     /// Applies a request that was in the log when this owner took over. Unlike a new one it
     /// does not count for the rate of arrivals.
     pub fn load_request(&mut self, now: Now, id: JobKey, request: Request) {
@@ -303,6 +312,22 @@
     /// Records that a call sent at `at` confirmed this owner.
     pub fn confirm_ownership(&mut self, at: Duration) {
         self.confirmed_at = self.confirmed_at.max(at);
+        self.number_refused_contacts(at);
+    }
+
+    /// Begins a numbered contact with workers that refused the epoch before `at`. There was no
+    /// later owner then, so the higher token is a numbered one of an earlier owner.
+    fn number_refused_contacts(&mut self, at: Duration) {
+        let refused = self.workers.values().filter(|it| it.refused_at.is_some_and(|it| it < at));
+        let refused: Vec<InstanceId> = refused.map(|it| it.listed.id.clone()).collect();
+        for id in refused {
+            let contact = self.next_numbered_contact();
+            let worker = self.workers.get_mut(&id).expect("the id comes from the map");
+            worker.refused_at = None;
+            worker.begin_contact(contact);
+            worker.next_status_request = at;
+            self.log_decision(Decision::Numbered { worker: id });
+        }
     }
 
     /// Time for which this owner may still start runs and renew leases without a new
@@ -311,11 +336,19 @@
         (self.confirmed_at + self.limits.renewal_window).saturating_sub(now.mono)
     }
 
-    /// Returns a contact that has not been used yet. An owner that has none left ends.
+    /// Returns the contact under which a worker is called next.
     pub(crate) fn next_contact(&mut self) -> ContactId {
+        match self.token_form {
+            TokenForm::Epoch => ContactId::Unnumbered,
+            TokenForm::Contact => self.next_numbered_contact(),
+        }
+    }
+
+    /// Returns a contact that has not been used yet. An owner that has none left ends.
+    fn next_numbered_contact(&mut self) -> ContactId {
         self.fenced |= self.last_contact == MAX_CONTACT;
         self.last_contact = (self.last_contact + 1).min(MAX_CONTACT);
-        self.last_contact
+        ContactId::Numbered(self.last_contact)
     }
 
     /// Calls a worker under a new contact, starting with a status request.
@@ -327,10 +360,17 @@
         }
     }
 
-    /// Ends this owner if a call under a contact was refused because of a higher fencing token,
-    /// unless that is the token of a later contact of its own.
+    /// Handles the refusal of a call under a contact because of a higher fencing token, unless
+    /// that is the token of a later contact of this owner. A numbered one is exceeded only by a
+    /// later owner, so this one ends. The worker is asked again otherwise.
     pub(crate) fn call_fenced(&mut self, id: &InstanceId, contact: ContactId) {
-        self.fenced |= self.workers.get(id).is_some_and(|it| it.contact <= contact);
+        let Some(worker) = self.workers.get_mut(id).filter(|it| it.contact == contact) else {
+            return;
+        };
+        match contact {
+            ContactId::Numbered(_) => self.fenced = true,
+            ContactId::Unnumbered => worker.is_observed = false,
+        }
     }
 
     /// Whether a later owner has replaced this one.
--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -94,8 +94,8 @@
     /// Time on the worker's clock after which it no longer carries out the start order,
     /// milliseconds.
     pub order_expires_ms: u64,
-    /// Contact with the worker under which the start order was sent; zero for a run of an earlier
-    /// owner.
+    /// Contact with the worker under which the start order was sent; unnumbered for a run of an
+    /// earlier owner.
     pub contact: ContactId,
     /// Whether a status of the worker has listed the run. An answer to the start order alone does
     /// not tell which incarnation gave it.
@@ -135,6 +135,9 @@
     pub is_observed: bool,
     /// Time on the worker's clock of the first such report, milliseconds.
     pub first_observed_ms: u64,
+    /// When the worker refused a status request without a number because of a higher token;
+    /// `None` if it has answered since or is called with numbers.
+    pub refused_at: Option<Duration>,
     /// Whether the last report had rows that could not be read.
     pub has_unreadable_rows: bool,
     /// Runs that may be taking place there.
@@ -184,6 +187,7 @@
             contact,
             is_observed: false,
             first_observed_ms: 0,
+            refused_at: None,
             has_unreadable_rows: false,
             runs: HashMap::new(),
             used: Resources::default(),
@@ -242,9 +246,10 @@
 
     /// Resets the state for a new incarnation of the worker. Returns the runs that were lost with
     /// the earlier one; those that it never listed stay, as the new one may have been given the
-    /// start order. A renewal computed for the clock of the earlier incarnation may have reached
-    /// the new one, so its leases may last until `leases_end_by`.
-    pub fn start_incarnation(&mut self, started_ms: u64, leases_end_by: Duration) -> Vec<(RunKey, Run)> {
+    /// start order, which counts as void after `orders_void_ms` of its clock. A renewal computed
+    /// for the clock of the earlier incarnation may have reached the new one, so its leases may
+    /// last until `leases_end_by`.
+    pub fn start_incarnation(&mut self, started_ms: u64, orders_void_ms: u64, leases_end_by: Duration) -> Vec<(RunKey, Run)> {
         self.started_ms = started_ms;
         self.first_observed_ms = 0;
         self.last_end_seen = 0;
@@ -254,7 +259,7 @@
         for run in self.runs.values_mut() {
             // These are times on the clock of the earlier incarnation.
             run.last_seen_ms = 0;
-            run.order_expires_ms = u64::MAX;
+            run.order_expires_ms = orders_void_ms;
         }
         let lost: Vec<RunKey> = self
             .runs
@@ -398,7 +403,7 @@
             need,
             last_seen_ms: 0,
             order_expires_ms: 0,
-            contact: 0,
+            contact: ContactId::Unnumbered,
             was_listed: false,
             progress_percent: 0,
             progress_changed_at: now,
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -7,8 +7,8 @@
 use crate::decision::Decision;
 use crate::id::InstanceId;
 use crate::job_record::{JobPhase, TaskKey, TaskState};
-use crate::order::{ActiveRun, ContactId, OrderOutcome, Refusal, RunEnd, RunOutcome, WorkerStatus};
-use crate::scheduler::{ENDS_PAGE_SIZE, MIN_STATUS_INTERVAL, PLACEMENT_PAUSE, STATUS_RETRY, Scheduler};
+use crate::order::{ActiveRun, ContactId, OrderOutcome, Refusal, RunEnd, RunOutcome, TokenForm, WorkerStatus};
+use crate::scheduler::{ENDS_PAGE_SIZE, MIN_STATUS_INTERVAL, PLACEMENT_PAUSE, START_EXPIRY, STATUS_RETRY, Scheduler};
 use crate::worker::{Run, RunKey, RunPhase};
 
 impl Scheduler {
@@ -21,7 +21,7 @@
         worker.status_requested = false;
         let has_restarted = worker.has_restarted(status.started_ms);
         if has_restarted {
-            self.worker_restarted(now, id, status.started_ms);
+            self.worker_restarted(now, id, &status);
         }
         self.record_answer(id);
         let worker = self.workers.get_mut(id).expect("looked up above");
@@ -32,6 +32,7 @@
             worker.started_ms = status.started_ms;
         }
         worker.is_observed |= contact == worker.contact;
+        worker.refused_at = None;
         if worker.first_observed_ms == 0 {
             worker.first_observed_ms = status.clock_ms;
         }
@@ -73,15 +74,21 @@
     }
 
     /// Handles the restart of a worker, which has lost the runs of its earlier incarnation.
-    fn worker_restarted(&mut self, now: Now, id: &InstanceId, started_ms: u64) {
+    fn worker_restarted(&mut self, now: Now, id: &InstanceId, status: &WorkerStatus) {
+        // Without numbers no answer proves that an order to the earlier incarnation is void.
+        let orders_void_ms = match self.token_form {
+            TokenForm::Epoch => status.clock_ms + START_EXPIRY.as_millis() as u64,
+            TokenForm::Contact => u64::MAX,
+        };
         let worker = self.workers.get_mut(id).expect("the caller checked that the worker is known");
         let from_ms = worker.started_ms;
-        let lost = worker.start_incarnation(started_ms, now.mono + self.limits.longest_lease_upper_bound());
+        let leases_end_by = now.mono + self.limits.longest_lease_upper_bound();
+        let lost = worker.start_incarnation(status.started_ms, orders_void_ms, leases_end_by);
         let may_start = worker.runs.len();
         self.log_decision(Decision::Restarted {
             worker: id.clone(),
             from_ms,
-            to_ms: started_ms,
+            to_ms: status.started_ms,
             lost: lost.len(),
             may_start,
         });
@@ -119,6 +126,9 @@
             return;
         };
         worker.status_requested = false;
+        if outcome == OrderOutcome::Refused(Refusal::Fenced) && contact == ContactId::Unnumbered {
+            worker.refused_at.get_or_insert(now.mono);
+        }
         // The worker may restart before it answers again.
         if worker.is_observed {
             self.begin_contact(now, id);
--- a/lib/tests/pool_world/mod.rs
+++ b/lib/tests/pool_world/mod.rs
@@ -19,7 +19,7 @@
 use oriolewall::clock::Now;
 use oriolewall::id::InstanceId;
 use oriolewall::job_record::{JobKey, Request, Submission, TaskKey};
-use oriolewall::order::{ContactId, RunOutcome, StartOrder, fencing_token};
+use oriolewall::order::{ContactId, RunOutcome, StartOrder, TokenForm, fencing_token};
 use oriolewall::query::JobStatus;
 use oriolewall::resources::Resources;
 use oriolewall::scheduler::{Scheduler, TimeLimits};
@@ -54,6 +54,8 @@
     Standard,
     /// They name the worker only, and owners may go on after they were replaced.
     Extended,
+    /// As [`Faults::Standard`], and the form of the fencing tokens changes between owners.
+    MixedTokens,
 }
 
 /// A worker that behaves as the platform guarantees. Its own clock, which starts with the
@@ -146,6 +148,8 @@
     rng: StdRng,
     /// Draws the faults of [`Faults::Extended`]; `None` for [`Faults::Standard`].
     extended_rng: Option<StdRng>,
+    /// Draws the form of each owner's tokens in [`Faults::MixedTokens`].
+    token_rng: Option<StdRng>,
     paused_owners: Vec<PausedOwner>,
     now_ms: u64,
     workers: BTreeMap<InstanceId, SimulatedWorker>,
@@ -190,6 +194,7 @@
         let mut simulation = Simulation {
             rng: StdRng::seed_from_u64(seed),
             extended_rng: (faults == Faults::Extended).then(|| StdRng::seed_from_u64(seed)),
+            token_rng: (faults == Faults::MixedTokens).then(|| StdRng::seed_from_u64(seed)),
             paused_owners: Vec::new(),
             now_ms: 0,
             workers: names.map(|it| (it, worker(()))).collect(),
@@ -238,7 +243,9 @@
     fn replace_owner(&mut self) {
         self.epoch += 1;
         self.commit_in_flight = None;
-        self.owner = Scheduler::new(time_limits(), self.now());
+        let has_epoch_form = self.token_rng.as_mut().is_some_and(|it| it.random_bool(0.5));
+        let token_form = if has_epoch_form { TokenForm::Epoch } else { TokenForm::Contact };
+        self.owner = Scheduler::new(time_limits(), self.now()).with_token_form(token_form);
         for (id, value) in &self.log {
             match id.strip_prefix(SILENT_WORKER_PREFIX) {
                 Some(worker) => self
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -10,7 +10,7 @@
 use oriolewall::clock::Now;
 use oriolewall::id::{InstanceId, PoolId};
 use oriolewall::job_record::{CancelKey, JobKey, JobRecord, Request, Submission, TaskKey};
-use oriolewall::order::{Action, ActiveRun, ContactId, OrderOutcome, RunEnd, RunOutcome, StartOrder, WorkerStatus};
+use oriolewall::order::{Action, ActiveRun, ContactId, OrderOutcome, RunEnd, RunOutcome, StartOrder, TokenForm, WorkerStatus};
 use oriolewall::resources::Resources;
 use oriolewall::scheduler::{Scheduler, TimeLimits};
 use oriolewall::silent_worker::SILENT_WORKER_PREFIX;
@@ -193,13 +193,18 @@
 
     /// Replaces the owner by a new one that restores its state from the log.
     pub fn replace_owner(&mut self) {
+        self.replace_owner_with(TokenForm::Contact);
+    }
+
+    /// Replaces the owner by a new one whose fencing tokens have this form.
+    pub fn replace_owner_with(&mut self, token_form: TokenForm) {
         let limits = TimeLimits {
             lease: LEASE,
             lease_max: 2 * LEASE,
             renewal_window: RENEWAL_WINDOW,
             stop_time: STOP_TIME,
         };
-        self.owner = Scheduler::new(limits, self.now);
+        self.owner = Scheduler::new(limits, self.now).with_token_form(token_form);
         for (id, value) in &self.stored {
             match id.strip_prefix(SILENT_WORKER_PREFIX) {
                 Some(worker) => self
@@ -314,9 +319,9 @@
             .start_answered(self.now, &start.worker, &start.key, start.contact, outcome);
     }
 
-    /// Contact of the latest status request to a worker; zero if there was none.
+    /// Contact of the latest status request to a worker; unnumbered if there was none.
     pub fn contact(&self, id: &str) -> ContactId {
-        self.contacts.get(id).copied().unwrap_or(0)
+        self.contacts.get(id).copied().unwrap_or_default()
     }
 
     /// Answers a start order as carried out.
