--- a/fleet/tests/test_group.rs
+++ b/fleet/tests/test_group.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use oriole_fleet::settings::{PlatformBounds, Settings};
+use oriolewall::order::TokenForm;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -124,6 +125,7 @@
         },
         cpu_millis: 1000,
         descriptors: 4100,
+        token_form: TokenForm::Contact,
     }
 }
 
