moved_queue: a cancel in a former pool's partition follows the job

A job whose cancel was answered with 200 ran on (UNASKED) when its queue had moved and the owner of the former pool had changed since: the earlier owner had handed the submission on and removed it, so the next one kept the cancel as one whose submission is still to come, and nobody handed it on.

A cancel now names the queue of its job and the pool that it is stored for. An owner that does not have the job hands it on when the queue has moved from that pool, and looks at waiting cancels again with each configuration, so that they also follow a queue that moves later or moves back. A cancel ends in the pool that the queue uses, as a chain of former pools has no cycle.

The new field is encoded by name: earlier builds skip it, whereas they would refuse a longer array. Their own cancels are read as before and stay where they are.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -16,7 +16,7 @@
 use oriolewall::acceptance::Route;
 use oriolewall::catalog::{Catalog, Queue};
 use oriolewall::id::{PoolId, TeamId};
-use oriolewall::job_record::{self, JobKey, Submission};
+use oriolewall::job_record::{self, Addressee, JobKey, Submission};
 use oriolewall::query::JobStatus;
 use oriolewall::refusal::{Cause, PATIENCE};
 use oriolewall::rpc::{Call, PartitionId, Reply};
@@ -229,18 +229,27 @@
 
 /// Stores a cancellation in the partition that has the job, or in all that may have it.
 async fn cancel_job(node: &Arc<Node>, target: &Target, id: &JobKey) -> HttpResponse {
-    let parts = match locate_job(node, target, id).await {
-        JobLocation::Found(part, _) => SmallVec::from_elem(part, 1),
-        // The owner may not have read the job's submission yet.
-        JobLocation::NotFound | JobLocation::Unknown => candidate_partitions(node, &target.queue),
-    };
-    let request = job_record::Request::Cancel {
-        at_ms: clock::now().wall_ms(),
-        team: target.visible_team(),
-    };
+    let mut candidates = candidate_pools(node, &target.queue);
+    if let JobLocation::Found(part, _) = locate_job(node, target, id).await {
+        candidates.retain(|(it, _)| *it == part);
+        if candidates.is_empty() {
+            // A pool that the queue used before the retained configurations.
+            candidates.push((part, None));
+        }
+    }
+    let at_ms = clock::now().wall_ms();
     let mut is_stored = false;
-    for part in parts {
-        match store_request(node, part, id, request.clone(), target.deadline).await {
+    for (part, pool) in candidates {
+        let queue = &target.queue.name;
+        let request = job_record::Request::Cancel {
+            at_ms,
+            team: target.visible_team(),
+            addressee: pool.map(|pool| Addressee {
+                queue: queue.clone(),
+                pool,
+            }),
+        };
+        match store_request(node, part, id, request, target.deadline).await {
             Reply::Done => is_stored = true,
             Reply::Unavailable if !is_stored => return unavailable_response(log_cause(node)),
             _ => {
@@ -254,14 +263,18 @@
     server::json_response(StatusCode::OK, caller::status_body(JobStatus::Cancelled))
 }
 
-/// Partitions that may have a job of a queue: that of its current pool, and those of its former
-/// pools.
-fn candidate_partitions(node: &Node, queue: &Queue) -> SmallVec<[PartitionId; 4]> {
-    let pools = std::iter::once(&queue.pool).chain(&queue.former_pools);
-    let mut parts: SmallVec<[PartitionId; 4]> = pools.map(|it| node.partition_of(it)).collect();
-    parts.sort_unstable();
-    parts.dedup();
-    parts
+/// Partitions that may have a job of a queue, each with the last pool in it that the queue used:
+/// those of its current pool and of its former pools.
+fn candidate_pools(node: &Node, queue: &Queue) -> SmallVec<[(PartitionId, Option<PoolId>); 4]> {
+    let mut candidates = SmallVec::<[(PartitionId, Option<PoolId>); 4]>::new();
+    for pool in std::iter::once(&queue.pool).chain(queue.former_pools.iter().rev()) {
+        let part = node.partition_of(pool);
+        if candidates.iter().all(|(it, _)| *it != part) {
+            candidates.push((part, Some(pool.clone())));
+        }
+    }
+    candidates.sort_unstable();
+    candidates
 }
 
 /// Appends a request to the log, alternating between the routes. Returns `Done` once the
--- a/fleet/src/request_log.rs
+++ b/fleet/src/request_log.rs
@@ -226,8 +226,5 @@
 
 /// Encodes a request for a job as a record.
 pub(crate) fn encode(id: &JobKey, request: &Request) -> RequestRecord {
-    (
-        request.record_key(id),
-        Bytes::from(rmp_serde::to_vec(request).expect("requests can be encoded")),
-    )
+    (request.record_key(id), Bytes::from(request.to_bytes()))
 }
--- a/lib/src/commit.rs
+++ b/lib/src/commit.rs
@@ -49,7 +49,7 @@
             tracked.logged_phase = phase;
             if phase != JobPhase::Open && std::mem::take(&mut tracked.cancel_pending) {
                 let teams = self.read_cancels.remove(&id).unwrap_or_default();
-                self.processed_cancels.extend(teams.into_iter().map(|team| (id.clone(), team)));
+                self.processed_cancels.extend(teams.into_keys().map(|team| (id.clone(), team)));
             }
             if !tracked.is_logged {
                 tracked.is_logged = true;
--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -1,6 +1,7 @@
 //! The state of a job as stored in the log: its specification and the progress of each task.
 //!
-//! The types are encoded by position, so fields and variants keep their order.
+//! The types are encoded by position, so fields and variants keep their order. Only cancels are
+//! encoded by name.
 
 use std::sync::Arc;
 
@@ -47,10 +48,32 @@
         /// Team of the caller, which may only cancel its own jobs; `None` for a public queue.
         #[serde(default)]
         team: Option<TeamId>,
+        /// Where the job may be; `None` in records of earlier builds.
+        #[serde(default)]
+        addressee: Option<Addressee>,
     },
 }
 
+/// The queue of a job and the pool whose owner gets a request for the job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Addressee {
+    /// Queue that the job was submitted to.
+    pub queue: QueueId,
+    /// The queue's pool, or one of its former pools.
+    pub pool: PoolId,
+}
+
 impl Request {
+    /// Encodes a request as the value of its record.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let bytes = match self {
+            Request::Submit(_) => rmp_serde::to_vec(self),
+            // Earlier builds skip a field by its name but do not accept one by its position.
+            Request::Cancel { .. } => rmp_serde::to_vec_named(self),
+        };
+        bytes.expect("requests can be encoded")
+    }
+
     /// Returns the record key of a request for a job.
     pub fn record_key(&self, job: &JobKey) -> String {
         match self {
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -22,6 +22,8 @@
 pub enum Cause {
     /// This instance has no configuration yet.
     NoConfiguration,
+    /// This instance does not know yet from which pools queues have moved.
+    NoHistory,
     /// The log does not answer, here and through other instances; the time since it last did.
     LogSilent(Duration),
     /// The log answers but takes no more appends.
@@ -35,6 +37,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Cause::NoConfiguration => "no_configuration",
+            Cause::NoHistory => "no_configuration_history",
             Cause::LogSilent(_) => "log_silent",
             Cause::LogBusy => "log_busy",
             Cause::OwnerSilent => "owner_silent",
@@ -47,7 +50,7 @@
         let expected = match self {
             Cause::LogSilent(outage) => outage,
             Cause::LogBusy => RETURN_RANGE.0 * 2,
-            Cause::NoConfiguration | Cause::OwnerSilent => RETURN_RANGE.0,
+            Cause::NoConfiguration | Cause::NoHistory | Cause::OwnerSilent => RETURN_RANGE.0,
         };
         let spread = 1.0 + RETURN_SPREAD * (2.0 * random - 1.0);
         expected.clamp(RETURN_RANGE.0, RETURN_RANGE.1).mul_f64(spread)
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -7,7 +7,7 @@
 //! run that may exist. Each order to a worker carries a fencing token that increases
 //! with each owner, and a start expires at a time on the worker's clock.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
 use crate::forecast::Forecast;
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::job_record::{CancelKey, JobKey, JobPhase, JobRecord, Request, TaskKey, TaskState};
-use crate::moved_queue::HandedOn;
+use crate::moved_queue::{Cancel, HandedOn};
 use crate::order::{Action, ContactId, MAX_CONTACT};
 use crate::resources::Resources;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
@@ -139,7 +139,7 @@
     pub(crate) grants: HashMap<TeamId, Resources>,
     /// Cancel requests that were read, by their callers' teams, until the submission of their job
     /// is read and until its end is recorded.
-    pub(crate) read_cancels: HashMap<JobKey, BTreeSet<Option<TeamId>>>,
+    pub(crate) read_cancels: HashMap<JobKey, BTreeMap<Option<TeamId>, Cancel>>,
     /// Jobs that were handed on to the next pool of their queue.
     pub(crate) handed_on: HashMap<JobKey, HandedOn>,
     /// Jobs whose records go into the next commit.
@@ -232,7 +232,7 @@
                     return;
                 }
                 if let Some(pool) = self.successor_of(&submission) {
-                    self.hand_on(now, id, submission, pool);
+                    self.hand_on(id, submission, pool);
                     return;
                 }
                 self.handed_on.remove(&id);
@@ -255,16 +255,17 @@
                 };
                 self.jobs.insert(id.clone(), tracked);
                 self.open_jobs.insert(id.clone());
-                for team in self.read_cancels.remove(&id).unwrap_or_default() {
-                    self.cancel_job(now, &id, team);
+                for (team, cancel) in self.read_cancels.remove(&id).unwrap_or_default() {
+                    self.cancel_job(now, &id, team, cancel);
                 }
             }
-            Request::Cancel { at_ms, team } => {
+            Request::Cancel { at_ms, team, addressee } => {
+                let cancel = Cancel { at_ms, addressee };
                 if self.jobs.contains_key(&id) {
-                    self.cancel_job(now, &id, team);
-                } else if !self.hand_on_cancel(&id, at_ms, team.as_ref()) {
+                    self.cancel_job(now, &id, team, cancel);
+                } else if let Err(cancel) = self.hand_on_cancel(&id, team.as_ref(), cancel) {
                     // The cancel may be read before the submission.
-                    self.read_cancels.entry(id).or_default().insert(team);
+                    self.read_cancels.entry(id).or_default().insert(team, cancel);
                 }
             }
         }
@@ -272,7 +273,7 @@
 
     /// Cancels a job whose cancel request was read, unless it belongs to another team. The
     /// request is removed from the log once the end of the job is recorded.
-    fn cancel_job(&mut self, now: Now, id: &JobKey, team: Option<TeamId>) {
+    fn cancel_job(&mut self, now: Now, id: &JobKey, team: Option<TeamId>, cancel: Cancel) {
         if !self.jobs.get(id).is_some_and(|it| it.is_visible_to(team.as_ref())) {
             self.processed_cancels.push((id.clone(), team));
             return;
@@ -284,7 +285,7 @@
         match tracked.logged_phase {
             JobPhase::Open => {
                 tracked.cancel_pending = true;
-                self.read_cancels.entry(id.clone()).or_default().insert(team);
+                self.read_cancels.entry(id.clone()).or_default().insert(team, cancel);
             }
             _ => self.processed_cancels.push((id.clone(), team)),
         }
@@ -293,6 +294,7 @@
     /// Replaces the operators' configuration.
     pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
         self.catalog = catalog;
+        self.hand_on_waiting_cancels();
     }
 
     /// Replaces the share of each team's cap that this owner may use in its pools.
--- a/lib/tests/pool_world/mod.rs
+++ b/lib/tests/pool_world/mod.rs
@@ -316,6 +316,7 @@
         let request = Request::Cancel {
             at_ms: self.now_ms,
             team: None,
+            addressee: None,
         };
         self.requests.push((id.clone(), request.clone()));
         self.owner.add_request(self.now(), id.clone(), request);
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -89,14 +89,28 @@
     fixture.add_request("job", submit("", vec![step(1, 1000)]));
     fixture.advance_ms(4000);
     fixture.confirms_commits = false;
-    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: None,
+            addressee: None,
+        },
+    );
     fixture.advance_ms(4000);
     assert!(fixture.removed_cancels.is_empty(), "the end of the job is not in the log");
     fixture.owner.commit_confirmed(fixture.now);
     fixture.advance_ms(4000);
     assert_eq!(fixture.removed_cancels.len(), 1);
     // A repeated cancel changes nothing and is removed as well.
-    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: None,
+            addressee: None,
+        },
+    );
     fixture.advance_ms(4000);
     assert_eq!(fixture.removed_cancels.len(), 2);
 }
@@ -104,7 +118,14 @@
 #[test]
 fn a_cancel_that_is_read_before_its_job_is_removed_with_it() {
     let mut fixture = OwnerFixture::new(vec![]);
-    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: None,
+            addressee: None,
+        },
+    );
     fixture.add_request("job", submit("", vec![step(1, 1000)]));
     fixture.advance_ms(4000);
     assert_eq!(fixture.removed_cancels.len(), 1);
@@ -117,7 +138,14 @@
     let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
     for team in ["own", "other"] {
         let team = Some(Arc::from(team));
-        fixture.add_request("job", Request::Cancel { at_ms: 0, team });
+        fixture.add_request(
+            "job",
+            Request::Cancel {
+                at_ms: 0,
+                team,
+                addressee: None,
+            },
+        );
     }
     fixture.add_request("job", submit("own", vec![step(1, 1000)]));
     fixture.advance_ms(4000);
@@ -132,6 +160,7 @@
     let cancel = |team: Option<&str>| Request::Cancel {
         at_ms: 0,
         team: team.map(Arc::from),
+        addressee: None,
     };
     let requests = [
         submit("own", vec![]),
@@ -154,7 +183,14 @@
     fixture.add_request("job", submit("", vec![step(1, 8000)]));
     fixture.advance_ms(100);
     assert_eq!(fixture.starts.len(), 1);
-    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: None,
+            addressee: None,
+        },
+    );
     fixture.add_request("next", submit("", vec![step(1, 8000)]));
     fixture.report_status("w1", 700, vec![], vec![]);
     fixture.advance_ms(50);
@@ -212,7 +248,14 @@
     fixture.add_request("job", submit("", vec![step(1, 1000)]));
     fixture.advance_ms(100);
     fixture.confirm_start(0, 650);
-    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: None,
+            addressee: None,
+        },
+    );
     fixture.advance_ms(100);
     let key = fixture.starts[0].key.clone();
     assert_eq!(fixture.stops, vec![key.clone()]);
@@ -225,7 +268,14 @@
 #[test]
 fn a_cancel_read_before_its_submission_takes_effect() {
     let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
-    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: None,
+            addressee: None,
+        },
+    );
     fixture.add_request("job", submit("", vec![step(1, 1000)]));
     fixture.advance_ms(300);
     assert!(fixture.starts.is_empty());
@@ -479,6 +529,7 @@
         Request::Cancel {
             at_ms: 0,
             team: other.clone(),
+            addressee: None,
         },
     );
     fixture.add_request("early", submit("own", vec![step(1, 1000)]));
@@ -488,6 +539,7 @@
         Request::Cancel {
             at_ms: 0,
             team: other.clone(),
+            addressee: None,
         },
     );
     fixture.advance_ms(100);
@@ -504,6 +556,7 @@
         Request::Cancel {
             at_ms: 0,
             team: own.clone(),
+            addressee: None,
         },
     );
     fixture.advance_ms(100);
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -253,7 +253,14 @@
     fixture.advance_ms(100);
     assert_eq!(fixture.starts.len(), 1);
     fixture.confirm_start(0, 650);
-    fixture.add_request("job", Request::Cancel { at_ms: 0, team: None });
+    fixture.add_request(
+        "job",
+        Request::Cancel {
+            at_ms: 0,
+            team: None,
+            addressee: None,
+        },
+    );
     fixture.advance_ms(100);
     fixture.replace_owner();
     fixture.refresh_config();
