owner: a record that cannot be handled leaves its job out, not its owner

A record whose application panics ended the owner. The process left the group, and the next owner read the same record. A record that could not be read was skipped, so callers heard "no such job" of a job that had been accepted, and if its submission was still in the log, it was admitted anew as a job without runs, beside the runs in progress.

Each record is now applied on its own. If it cannot be read, or its application panics, its job is quarantined: what was changed for the job is removed, its records and requests stay in the log, nothing of it is started, `GET` and `DELETE` answer 500, a `record_skipped` line names partition, key and message, and `oriole_records_skipped_total` counts it. A request that cannot be read quarantines its job only if nothing else is known of the job.

Runs of a quarantined job that workers list are stopped like unknown ones: a cancel that could not be applied may have been acknowledged, and leases are renewed for a whole worker, so they cannot be left to end. Ends are acknowledged in order, so the end of a done run cannot be held back; a mark under `q/` goes into the log first, and later owners leave the job alone, also builds that can handle its record, as the task would run again.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -231,6 +231,7 @@
 async fn cancel_job(node: &Arc<Node>, target: &Target, id: &JobKey) -> HttpResponse {
     let parts = match locate_job(node, target, id).await {
         JobLocation::Found(part, _) => SmallVec::from_elem(part, 1),
+        JobLocation::Quarantined => return quarantined_response(),
         // The owner may not have read the job's submission yet.
         JobLocation::NotFound | JobLocation::Unknown => candidate_partitions(node, &target.queue),
     };
@@ -303,6 +304,7 @@
         match locate_job(node, target, id).await {
             JobLocation::Found(_, status) => return server::json_response(StatusCode::OK, caller::status_body(status)),
             JobLocation::NotFound => return error_response(StatusCode::GONE, "there is no such job"),
+            JobLocation::Quarantined => return quarantined_response(),
             JobLocation::Unknown if refuse_at <= Instant::now() + RETRY_DELAY => {
                 return unavailable_response(Cause::OwnerSilent);
             }
@@ -311,6 +313,11 @@
     }
 }
 
+/// Responds that a job exists and cannot be handled. The decision log of its owner says why.
+fn quarantined_response() -> HttpResponse {
+    error_response(StatusCode::INTERNAL_SERVER_ERROR, "the job is stored and cannot be handled")
+}
+
 /// Result of a search for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum JobLocation {
@@ -318,6 +325,8 @@
     Found(PartitionId, JobStatus),
     /// No partition has the job.
     NotFound,
+    /// An owner has the job and cannot handle it.
+    Quarantined,
     /// An owner that may have the job did not answer.
     Unknown,
 }
@@ -340,6 +349,7 @@
         match peer::call(node, part, call).await {
             Reply::Status(Some(status)) => return JobLocation::Found(part, status),
             Reply::Status(None) => {}
+            Reply::Quarantined => return JobLocation::Quarantined,
             // While the likely owner does not answer, the others cannot prove that the job
             // does not exist, so do not query them.
             _ if part == likely_part => return JobLocation::Unknown,
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) run_ends: IntCounterVec,
     /// Runs that workers list and the owner did not expect there.
     pub(crate) unexpected_runs: IntCounter,
+    /// Records of the log that an owner could not use.
+    pub(crate) records_skipped: IntCounter,
     /// Restarts of workers under their name.
     pub(crate) worker_restarts: IntCounter,
     /// Failed calls to the log service.
@@ -94,6 +96,7 @@
                 "oriole_unexpected_runs_total",
                 "Runs that workers list and the owner did not expect",
             ),
+            records_skipped: counter("oriole_records_skipped_total", "Records of the log that an owner could not use"),
             worker_restarts: counter("oriole_worker_restarts_total", "Restarts of workers"),
             log_errors: counter("oriole_log_errors_total", "Failed calls to the log"),
             owned_partitions: gauge("oriole_partitions_owned", "Partitions owned"),
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -29,7 +29,7 @@
 use tokio::task::JoinSet;
 
 use crate::node::Node;
-use crate::takeover::{decode_requests, follow_requests, still_owned, take_over};
+use crate::takeover::{apply_requests, follow_requests, still_owned, take_over};
 use crate::{clock, coordinator, peer, request_log, watch};
 
 /// Time limit of a call to the log.
@@ -236,9 +236,9 @@
         match event {
             Event::RequestsRead(batch) => {
                 self.requests_read_at = now.mono;
-                for (id, request) in decode_requests(&self.node, self.part, batch) {
-                    self.scheduler.add_request(now, id, request);
-                }
+                apply_requests(&self.node, self.part, &mut self.scheduler, batch, |scheduler, id, request| {
+                    scheduler.add_request(now, id, request);
+                });
             }
             Event::CatalogChanged => self.refresh_catalog(),
             Event::WorkerListChanged => self.refresh_workers(),
@@ -280,6 +280,9 @@
     /// Answers a query for a job's state. The answer that there is no such job is given
     /// only if requests have been read recently.
     fn status(&self, id: &JobKey, team: Option<&TeamId>) -> Reply {
+        if self.scheduler.is_quarantined(id) {
+            return Reply::Quarantined;
+        }
         let status: Option<JobStatus> = self.scheduler.job_status(id, team);
         // The job's submission may be among requests that have not been read yet.
         if status.is_none() && self.requests_read_at + MAX_REQUESTS_AGE < clock::now().mono {
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -9,6 +9,7 @@
 use oriole_platform::log::{AppendPosition, Error, JOBS, Partition, REQUESTS, ReadResult};
 use oriolewall::id::InstanceId;
 use oriolewall::job_record::{self, JobKey, JobRecord, Request};
+use oriolewall::quarantine::QUARANTINE_PREFIX;
 use oriolewall::rpc::PartitionId;
 use oriolewall::scheduler::{Scheduler, TimeLimits};
 use oriolewall::silent_worker::{SILENT_WORKER_PREFIX, SilentWorker};
@@ -73,6 +74,10 @@
         let Some(value) = entry.value else {
             continue;
         };
+        if let Some(id) = entry.key.strip_prefix(QUARANTINE_PREFIX) {
+            scheduler.quarantine(&JobKey::from(id));
+            continue;
+        }
         if let Some(worker) = entry.key.strip_prefix(SILENT_WORKER_PREFIX) {
             match rmp_serde::from_slice::<SilentWorker>(&value) {
                 Ok(silent_worker) => scheduler.load_silent_worker(now, InstanceId::from(worker), silent_worker),
@@ -80,17 +85,25 @@
             }
             continue;
         }
-        match rmp_serde::from_slice::<JobRecord>(&value) {
-            Ok(record) if record.is_valid() => scheduler.load_job(JobKey::from(entry.key), record),
-            Ok(_) => log_skipped_record(node, part, &entry.key, "the tasks do not match the specification"),
-            Err(err) => log_skipped_record(node, part, &entry.key, &err.to_string()),
+        let id = JobKey::from(entry.key);
+        if scheduler.is_quarantined(&id) {
+            continue;
+        }
+        let loaded = match rmp_serde::from_slice::<JobRecord>(&value) {
+            Ok(record) if record.is_valid() => scheduler.try_apply(&id, |it| it.load_job(id.clone(), record)),
+            Ok(_) => Err("the tasks do not match the specification".to_owned()),
+            Err(err) => Err(err.to_string()),
+        };
+        if let Err(err) = loaded {
+            scheduler.quarantine(&id);
+            log_skipped_record(node, part, &id, &err);
         }
     }
     let batch = read_newest_with_retry(node, requests, epoch).await?;
     let next = batch.next;
-    for (id, request) in decode_requests(node, part, batch) {
+    apply_requests(node, part, &mut scheduler, batch, |scheduler, id, request| {
         scheduler.load_request(clock::now(), id, request);
-    }
+    });
     // The list may be outdated, as it is not read while no partition is owned.
     let mut list_read_at = node.worker_list_read_at.subscribe();
     while *list_read_at.borrow_and_update() + MAX_WORKER_LIST_AGE < started {
@@ -123,26 +136,39 @@
 
 /// Writes a line for a record that cannot be used and is therefore ignored.
 fn log_skipped_record(node: &Node, part: PartitionId, key: &str, err: &str) {
+    node.metrics.records_skipped.inc();
     node.decision_log
         .write("record_skipped", json!({ "part": part, "key": key, "error": err }));
 }
 
-/// Decodes callers' requests. Records that cannot be decoded are logged and skipped.
-pub(crate) fn decode_requests(node: &Node, part: PartitionId, batch: ReadResult) -> Vec<(JobKey, Request)> {
-    let mut requests = Vec::with_capacity(batch.entries.len());
+/// Passes callers' requests to a scheduler. Those that cannot be read or handled are logged and
+/// skipped, and a job that is known by nothing else is quarantined.
+pub(crate) fn apply_requests<F>(node: &Node, part: PartitionId, scheduler: &mut Scheduler, batch: ReadResult, apply: F)
+where
+    F: Fn(&mut Scheduler, JobKey, Request),
+{
     for entry in batch.entries {
         let Some(value) = entry.value else {
             continue;
         };
-        match rmp_serde::from_slice::<Request>(&value) {
-            Ok(request) => match validate(&request) {
-                Ok(()) => requests.push((job_record::job_of_record_key(&entry.key), request)),
-                Err(err) => log_skipped_record(node, part, &entry.key, &err.to_string()),
-            },
-            Err(err) => log_skipped_record(node, part, &entry.key, &err.to_string()),
+        let id = job_record::job_of_record_key(&entry.key);
+        let request = match rmp_serde::from_slice::<Request>(&value) {
+            Ok(request) => validate(&request).map(|()| request).map_err(|it| it.to_string()),
+            Err(err) => Err(err.to_string()),
+        };
+        let applied = match request {
+            Ok(request) => scheduler.try_apply(&id, |it| apply(it, id.clone(), request)),
+            Err(err) => {
+                if !scheduler.has_job(&id) {
+                    scheduler.quarantine(&id);
+                }
+                Err(err)
+            }
+        };
+        if let Err(err) = applied {
+            log_skipped_record(node, part, &entry.key, &err);
         }
     }
-    requests
 }
 
 /// Checks the job of a request, so that one that no owner can handle does not end all of them.
--- a/lib/src/commit.rs
+++ b/lib/src/commit.rs
@@ -135,7 +135,10 @@
         if !self.can_commit(now) {
             return;
         }
-        let nothing_to_commit = self.dirty_jobs.is_empty() && self.expired_jobs.is_empty() && !self.silent_worker_records_due(now);
+        let nothing_to_commit = self.dirty_jobs.is_empty()
+            && self.expired_jobs.is_empty()
+            && self.quarantine_marks.is_empty()
+            && !self.silent_worker_records_due(now);
         let mut batch = Batch::default();
         for worker in self.workers.values_mut() {
             if worker.last_end_recorded < worker.last_end_seen {
@@ -161,6 +164,7 @@
             records.push((id, Some(Bytes::from(encoded))));
         }
         records.extend(self.expired_jobs.drain(..).map(|id| (id, None)));
+        records.extend(self.take_quarantine_marks());
         for (id, value) in self.silent_worker_records(now) {
             batch.silent_workers.push((id.clone(), value.is_none()));
             records.push((Arc::from(format!("{SILENT_WORKER_PREFIX}{id}")), value));
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,6 +44,7 @@
 //! - [`query`]: read-only queries on an owner's state.
 //! - [`quota`]: division of teams' caps among owners.
 //! - [`silent_worker`]: log records of workers that do not answer.
+//! - [`quarantine`]: jobs whose records an owner cannot handle.
 //! - [`acceptance`]: routes of callers' requests to the log.
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
@@ -90,6 +91,7 @@
 mod peer;
 mod placement;
 pub mod platform;
+pub mod quarantine;
 pub mod query;
 pub mod queue;
 pub mod quota;
--- a/lib/src/moved_queue.rs
+++ b/lib/src/moved_queue.rs
@@ -81,6 +81,9 @@
     /// after `pool`. That the job is not here is answered only by an owner that knows of the move,
     /// and only while there can be no later owner that might not.
     pub fn former_status(&self, now: Now, id: &JobKey, team: Option<&TeamId>, queue: &QueueId, pool: &PoolId) -> Reply {
+        if self.is_quarantined(id) {
+            return Reply::Quarantined;
+        }
         let status = self.job_status(id, team);
         let has_moved = self.catalog.queues.get(queue).is_some_and(|it| it.pool != *pool);
         let is_owner = !self.fenced && !self.ownership_left(now).is_zero();
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -43,6 +43,11 @@
         self.jobs.len()
     }
 
+    /// Whether a job is known, be it open or ended.
+    pub fn has_job(&self, id: &JobKey) -> bool {
+        self.jobs.contains_key(id)
+    }
+
     /// Whether a worker is listed, or may still have runs although it is not.
     pub fn has_worker(&self, id: &InstanceId) -> bool {
         self.workers.contains_key(id)
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -122,4 +122,6 @@
     Unavailable,
     /// The request may have been carried out.
     Unknown,
+    /// There is such a job, but the owner cannot handle it.
+    Quarantined,
 }
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -165,6 +165,10 @@
     pub(crate) inherited_runs: HashMap<InstanceId, Vec<(RunKey, Run)>>,
     /// Runs that workers list and this owner did not expect, until they have ended.
     pub(crate) unexpected_runs: HashSet<RunKey>,
+    /// Jobs that this owner cannot handle.
+    pub(crate) quarantined_jobs: HashSet<JobKey>,
+    /// Those of them that the next commit marks in the log.
+    pub(crate) quarantine_marks: BTreeSet<JobKey>,
     pub(crate) fenced: bool,
     /// Form of the tokens with which workers are called first.
     pub(crate) token_form: TokenForm,
@@ -205,6 +209,8 @@
             inherited_runs: HashMap::new(),
             last_cleanup: now.mono,
             unexpected_runs: HashSet::new(),
+            quarantined_jobs: HashSet::new(),
+            quarantine_marks: BTreeSet::new(),
             fenced: false,
             token_form: TokenForm::default(),
             last_contact: 0,
@@ -231,6 +237,9 @@
     }
 
     fn apply_request(&mut self, now: Now, id: JobKey, request: Request, is_new: bool) {
+        if self.is_quarantined(&id) {
+            return;
+        }
         match request {
             Request::Submit(submission) => {
                 if let Some(tracked) = self.jobs.get(&id) {
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -342,6 +342,7 @@
     /// or has failed too often.
     fn handle_run_end(&mut self, now: Now, id: &InstanceId, end: RunEnd) {
         self.release_run(id, &end.key);
+        self.mark_quarantined_end(&end);
         self.mark_started(&end.key.task.job);
         let how = match end.outcome {
             RunOutcome::Done => "done",
