--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -230,12 +230,17 @@
 /// Stores a cancellation in the partition that has the job, or in all that may have it.
 async fn cancel_job(node: &Arc<Node>, target: &Target, id: &JobKey) -> HttpResponse {
     let mut candidates = candidate_pools(node, &target.queue);
-    if let JobLocation::Found(part, _) = locate_job(node, target, id).await {
-        candidates.retain(|(it, _)| *it == part);
-        if candidates.is_empty() {
-            // A pool that the queue used before the retained configurations.
-            candidates.push((part, None));
+    match locate_job(node, target, id).await {
+        JobLocation::Found(part, _) => {
+            candidates.retain(|(it, _)| *it == part);
+            if candidates.is_empty() {
+                // A pool that the queue used before the retained configurations.
+                candidates.push((part, None));
+            }
         }
+        JobLocation::Quarantined => return quarantined_response(),
+        // The owner may not have read the job's submission yet.
+        JobLocation::NotFound | JobLocation::Unknown => {}
     }
     let at_ms = clock::now().wall_ms();
     let mut is_stored = false;
@@ -316,6 +321,7 @@
         match locate_job(node, target, id).await {
             JobLocation::Found(_, status) => return server::json_response(StatusCode::OK, caller::status_body(status)),
             JobLocation::NotFound => return error_response(StatusCode::GONE, "there is no such job"),
+            JobLocation::Quarantined => return quarantined_response(),
             JobLocation::Unknown if refuse_at <= Instant::now() + RETRY_DELAY => {
                 return unavailable_response(Cause::OwnerSilent);
             }
@@ -324,6 +330,11 @@
     }
 }
 
+/// Responds that a job exists and cannot be handled. The decision log of its owner says why.
+fn quarantined_response() -> HttpResponse {
+    error_response(StatusCode::INTERNAL_SERVER_ERROR, "the job is stored and cannot be handled")
+}
+
 /// Result of a search for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum JobLocation {
@@ -331,6 +342,8 @@
     Found(PartitionId, JobStatus),
     /// No partition has the job.
     NotFound,
+    /// An owner has the job and cannot handle it.
+    Quarantined,
     /// An owner that may have the job did not answer.
     Unknown,
 }
@@ -353,6 +366,7 @@
         match peer::call(node, part, call).await {
             Reply::Status(Some(status)) => return JobLocation::Found(part, status),
             Reply::Status(None) => {}
+            Reply::Quarantined => return JobLocation::Quarantined,
             // While the likely owner does not answer, the others cannot prove that the job
             // does not exist, so do not query them.
             _ if part == likely_part => return JobLocation::Unknown,
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) run_ends: IntCounterVec,
     /// Runs that workers list and the owner did not expect there.
     pub(crate) unexpected_runs: IntCounter,
+    /// Records of the log that an owner could not use.
+    pub(crate) records_skipped: IntCounter,
     /// Restarts of workers under their name.
     pub(crate) worker_restarts: IntCounter,
     /// Times that an owner was found to be overloaded and lowered its limit on starts.
@@ -96,6 +98,7 @@
                 "oriole_unexpected_runs_total",
                 "Runs that workers list and the owner did not expect",
             ),
+            records_skipped: counter("oriole_records_skipped_total", "Records of the log that an owner could not use"),
             worker_restarts: counter("oriole_worker_restarts_total", "Restarts of workers"),
             overloads: counter("oriole_owner_overloads_total", "Times an owner lowered its limit on starts"),
             log_errors: counter("oriole_log_errors_total", "Failed calls to the log"),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -45,6 +45,7 @@
 //! - [`quota`]: division of teams' caps among owners.
 //! - [`silent_worker`]: log records of workers that do not answer.
 //! - [`start_window`]: limit on the runs that an owner starts at the same time.
+//! - [`quarantine`]: jobs whose records an owner cannot handle.
 //! - [`acceptance`]: routes of callers' requests to the log.
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
@@ -94,6 +95,7 @@
 mod peer;
 mod placement;
 pub mod platform;
+pub mod quarantine;
 pub mod query;
 pub mod queue;
 pub mod quota;
