configuration: without its history an instance neither answers nor takes over

An instance that could read the newest configuration at its start and not the earlier ones knew no former pool of any queue, for good. It stored submissions for the current pool without asking the former owner, stored cancels there only, and took partitions over as an owner that admits jobs of queues that had moved: their tasks ran twice (TWICE), cancelled jobs ran on. The read of the history had 500 ms and one try, and a failure was only logged. An owner could also take over before any configuration was read.

What was read is now an enum that holds the catalog only once all that the log retains of the history has been read (`Configuration::Known`). Until then both are read again, with the backoff of 50 to 500 ms of the other reads, requests get 503 with `no_configuration_history`, the instance is not ready, and a takeover waits before it sets its epoch. The usual start makes the same calls as before. A history of more than one answer is read to its end.

The two new tests failed before: a submission was answered with 200, and an owner took over.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -66,9 +66,13 @@
 pub(crate) async fn handle_request(node: &Arc<Node>, request: Request<Incoming>) -> HttpResponse {
     let _open = node.open_request();
     let started = clock::now().mono;
-    let catalog = node.catalog.load_full();
+    let catalog = node.configuration.load().catalog();
+    let version = catalog.as_ref().map_or(0, |it| it.version);
     let path = request.uri().path().to_owned();
-    let (call, id, response) = match resolve_target(&catalog, &request, &path) {
+    let target = catalog
+        .map_err(unavailable_response)
+        .and_then(|it| resolve_target(&it, &request, &path));
+    let (call, id, response) = match target {
         Err(response) => ("none", JobKey::from(""), response),
         Ok(target) => {
             let id = JobKey::from(&path[target.queue.path_prefix.len()..]);
@@ -87,7 +91,7 @@
                 "job": id,
                 "path": path,
                 "status": response.status().as_u16(),
-                "config": catalog.version,
+                "config": version,
                 "took_ms": elapsed.as_millis() as u64,
             }),
         );
@@ -98,9 +102,6 @@
 /// Finds the queue by host and path, the team by the bearer key, and the deadline.
 /// A caller without a known key belongs to the team with the empty name, if the queue is public.
 fn resolve_target(catalog: &Catalog, request: &Request<Incoming>, path: &str) -> Result<Target, HttpResponse> {
-    if catalog.version == 0 {
-        return Err(unavailable_response(Cause::NoConfiguration));
-    }
     let host = request.headers().get(HOST).and_then(|it| it.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
     let Some(queue) = catalog.route(host, path) else {
@@ -338,7 +339,7 @@
 /// Searches for a job at the owner of its queue's pool, then at all other owners, as
 /// the queue may have used another pool when the job was submitted.
 async fn locate_job(node: &Arc<Node>, target: &Target, id: &JobKey) -> JobLocation {
-    let catalog = node.catalog.load_full();
+    let catalog = node.catalog();
     let likely_part = node.partition_of(&target.queue.pool);
     let mut parts: Vec<PartitionId> = catalog.pools.keys().map(|it| node.partition_of(it)).collect();
     parts.sort_unstable_by_key(|it| (*it != likely_part, *it));
--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -59,7 +59,7 @@
         return Reply::NotOwner;
     };
     let now = clock::now().mono;
-    let catalog = node.catalog.load();
+    let catalog = node.catalog();
     let mut parts: Vec<PartitionId> = catalog.pools.keys().map(|it| node.partition_of(it)).collect();
     parts.sort_unstable();
     parts.dedup();
@@ -268,7 +268,7 @@
     session: &mut CoordinatorSession,
 ) {
     let now = clock::now().mono;
-    let catalog = node.catalog.load_full();
+    let catalog = node.catalog();
     let loads = node.lock_coordinator_state().loads.clone();
     let standby_pools: Vec<PoolId> = catalog
         .pools
--- a/fleet/src/maintenance.rs
+++ b/fleet/src/maintenance.rs
@@ -75,7 +75,7 @@
         all_machines: &MachineList,
         session: &mut CoordinatorSession,
     ) {
-        let catalog = node.catalog.load_full();
+        let catalog = node.catalog();
         let mut vacating = HashSet::new();
         for (wave_number, wave) in &catalog.waves {
             let progress = self.waves.entry(*wave_number).or_default();
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -118,7 +118,7 @@
 pub(crate) fn handle_request(node: &Node) -> HttpResponse {
     let metrics = &node.metrics;
     metrics.connections_opened.set(ConnectionPool::total_opened() as i64);
-    metrics.config_version.set(node.catalog.load().version as i64);
+    metrics.config_version.set(node.catalog().version as i64);
     metrics.open_requests.set(node.open_requests() as i64);
     metrics.owned_partitions.set(node.lock_owned_partitions().len() as i64);
     let mut buffer = Vec::new();
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -13,6 +13,7 @@
 use oriolewall::catalog::Catalog;
 use oriolewall::id::{InstanceId, PoolId};
 use oriolewall::reachability::Reachability;
+use oriolewall::refusal::Cause;
 use oriolewall::rpc::PartitionId;
 use oriolewall::worker::ListedWorker;
 use tokio::sync::{mpsc, watch};
@@ -44,6 +45,29 @@
 /// Peer address of the owner of each partition.
 pub(crate) type Owners = HashMap<PartitionId, SocketAddr>;
 
+/// What an instance has read of operators' records.
+#[derive(Clone, Debug)]
+pub(crate) enum Configuration {
+    /// Nothing.
+    Unread,
+    /// The newest records, but not the earlier ones that tell from which pools queues have moved.
+    /// Such an instance cannot tell where the jobs of a queue may be.
+    WithoutHistory,
+    /// All that the log retains. The catalog's version is 0 while there is no configuration.
+    Known(Arc<Catalog>),
+}
+
+impl Configuration {
+    /// Returns the configuration in effect, or why there is none.
+    pub(crate) fn catalog(&self) -> Result<Arc<Catalog>, Cause> {
+        match self {
+            Configuration::Known(catalog) if catalog.version != 0 => Ok(catalog.clone()),
+            Configuration::WithoutHistory => Err(Cause::NoHistory),
+            Configuration::Unread | Configuration::Known(_) => Err(Cause::NoConfiguration),
+        }
+    }
+}
+
 /// Shared state of an entry instance.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -58,9 +82,9 @@
     pub(crate) advice_client: Option<AdviceClient>,
     pub(crate) decision_log: decision_log::DecisionLog,
     pub(crate) metrics: Metrics,
-    /// Operators' configuration; its version is 0 until one has been read.
-    pub(crate) catalog: ArcSwap<Catalog>,
-    /// Number of changes of `catalog`; owners subscribe to it.
+    /// Operators' configuration, as far as it has been read.
+    pub(crate) configuration: ArcSwap<Configuration>,
+    /// Number of changes of `configuration`; owners subscribe to it.
     pub(crate) catalog_changes: watch::Sender<u64>,
     /// Workers that the platform lists. Kept current only while this instance owns a partition.
     pub(crate) workers: ArcSwap<HashMap<InstanceId, ListedWorker>>,
@@ -103,7 +127,7 @@
             advice_client: settings.advice_addr.map(AdviceClient::new),
             decision_log: decision_log::DecisionLog::start(settings.name.clone()),
             metrics,
-            catalog: ArcSwap::from_pointee(Catalog::default()),
+            configuration: ArcSwap::from_pointee(Configuration::Unread),
             catalog_changes: watch::Sender::new(0),
             workers: ArcSwap::from_pointee(HashMap::new()),
             worker_list_changes: watch::Sender::new(0),
@@ -124,6 +148,11 @@
         }
     }
 
+    /// Returns the configuration in effect, an empty one if there is none.
+    pub(crate) fn catalog(&self) -> Arc<Catalog> {
+        self.configuration.load().catalog().unwrap_or_default()
+    }
+
     /// Returns the partition that holds a pool's jobs, from a 64-bit FNV-1a hash of the pool's name.
     pub(crate) fn partition_of(&self, pool: &PoolId) -> PartitionId {
         let hash = pool.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
@@ -207,7 +236,7 @@
 
     /// Returns whether the platform should route callers to this instance.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.catalog.load().version != 0 && self.is_log_reachable()
+        !self.is_stopping() && self.configuration.load().catalog().is_ok() && self.is_log_reachable()
     }
 
     /// Marks this instance as stopping, so that it is no longer ready.
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -290,7 +290,7 @@
 
     /// Passes the current configuration and the listed workers to the scheduler.
     fn refresh_catalog(&mut self) {
-        self.scheduler.set_catalog(self.node.catalog.load_full());
+        self.scheduler.set_catalog(self.node.catalog());
         self.refresh_workers();
     }
 
--- a/fleet/src/request_log.rs
+++ b/fleet/src/request_log.rs
@@ -214,7 +214,7 @@
 
 /// Returns the possible aggregators of a partition, best first.
 fn ranked_aggregators(node: &Node, part: PartitionId) -> Vec<SocketAddr> {
-    let catalog = node.catalog.load();
+    let catalog = node.catalog();
     let busy: Vec<PartitionId> = catalog.pools.keys().map(|it| node.partition_of(it)).collect();
     let owners = node.owners.load();
     let mut has_pools: HashMap<SocketAddr, bool> = HashMap::new();
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use oriole_platform::log::{AppendPosition, Error, JOBS, Partition, REQUESTS, ReadResult};
+use oriolewall::catalog::Catalog;
 use oriolewall::id::InstanceId;
 use oriolewall::job_record::{self, JobKey, JobRecord, Request};
 use oriolewall::rpc::PartitionId;
@@ -16,7 +17,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use crate::node::Node;
+use crate::node::{Configuration, Node};
 use crate::owner::{CALL_TIMEOUT, Event, RETRY_DELAY};
 use crate::{clock, watch};
 
@@ -39,6 +40,7 @@
 /// which to follow requests, or `None` if there is a later owner.
 pub(crate) async fn take_over(node: &Node, part: PartitionId, epoch: u64) -> Option<(Scheduler, u64)> {
     let started = clock::now().mono;
+    let catalog = wait_for_catalog(node, part, epoch).await?;
     let jobs = Partition { topic: JOBS, number: part };
     let requests = Partition {
         topic: REQUESTS,
@@ -68,7 +70,7 @@
     };
     let mut scheduler = Scheduler::new(limits, now);
     // Requests of queues that have moved to another pool are handed on.
-    scheduler.set_catalog(node.catalog.load_full());
+    scheduler.set_catalog(catalog);
     for entry in read_newest_with_retry(node, jobs, epoch).await?.entries {
         let Some(value) = entry.value else {
             continue;
@@ -101,6 +103,22 @@
     Some((scheduler, next))
 }
 
+/// Waits until it is known from which pools queues have moved: without that an owner would admit
+/// their jobs. Returns `None` if this instance no longer owns the partition.
+async fn wait_for_catalog(node: &Node, part: PartitionId, epoch: u64) -> Option<Arc<Catalog>> {
+    let mut changes = node.catalog_changes.subscribe();
+    loop {
+        if let Configuration::Known(catalog) = &**node.configuration.load() {
+            return Some(catalog.clone());
+        }
+        if !still_owned(node, part, epoch) {
+            return None;
+        }
+        // The ownership may end without a change.
+        let _ = tokio::time::timeout(CALL_TIMEOUT, changes.changed()).await;
+    }
+}
+
 /// Returns whether this instance still owns a partition under an epoch.
 pub(crate) fn still_owned(node: &Node, part: PartitionId, epoch: u64) -> bool {
     node.owned_partition(part).is_some_and(|it| it.epoch == epoch)
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::clock;
-use crate::node::Node;
+use crate::node::{Configuration, Node};
 use crate::settings::Settings;
 
 /// Time for which a read of the configuration waits for new records.
@@ -19,8 +19,6 @@
 /// Number of operators' records before the newest ones that are read at the start. A job is
 /// submitted again within seconds, so only the last moves of queues matter.
 const HISTORY_RECORDS: u64 = 8;
-/// Time limit of that read; a start should not wait long for it.
-const HISTORY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two reads of the list of workers. A longer interval delays jobs that
 /// wait for a worker which has joined a pool.
 const LIST_INTERVAL: Duration = Duration::from_millis(200);
@@ -52,6 +50,8 @@
                 next = Some(batch.next);
                 if changed && config.is_loaded() {
                     publish_catalog(&node, &config);
+                } else if !matches!(**node.configuration.load(), Configuration::Known(_)) {
+                    store_configuration(&node, Configuration::Known(config.catalog()));
                 }
             }
             Err(Error::Expired { .. }) => next = None,
@@ -77,7 +77,12 @@
             "waves": catalog.waves.keys().collect::<Vec<_>>(),
         }),
     );
-    node.catalog.store(catalog);
+    store_configuration(node, Configuration::Known(catalog));
+}
+
+/// Stores what is known of the configuration in the node and notifies the owners.
+fn store_configuration(node: &Node, configuration: Configuration) {
+    node.configuration.store(Arc::new(configuration));
     node.catalog_changes.send_modify(|it| *it += 1);
 }
 
@@ -134,28 +139,32 @@
 /// earlier configurations tell from which pools queues have moved.
 async fn read_configuration(node: &Node) -> Result<ReadResult, Error> {
     let mut newest = read_newest(node, OPERATORS).await?;
-    let mut history = read_history(node, newest.next.saturating_sub(HISTORY_RECORDS)).await;
+    if matches!(**node.configuration.load(), Configuration::Unread) {
+        store_configuration(node, Configuration::WithoutHistory);
+    }
+    let mut history = read_history(node, newest.next).await?;
     // The newest records of the other keys are complete by themselves.
     history.retain(config::is_configuration);
     newest.entries.splice(0..0, history);
     Ok(newest)
 }
 
-/// Reads operators' records from an offset on, or from the first one that is retained. Without
-/// them this instance can start as well, so a failure is only logged.
-async fn read_history(node: &Node, from: u64) -> Vec<Entry> {
-    let read = |from| node.log.read(OPERATORS, from, Duration::ZERO, HISTORY_TIMEOUT);
-    let result = match read(from).await {
-        Err(Error::Expired { first }) => read(first).await,
-        result => result,
-    };
-    match result {
-        Ok(batch) => batch.entries,
-        Err(err) => {
-            report_log_error(node, "configuration history", &err);
-            Vec::new()
+/// Reads the last operators' records before an offset, from the first one that is retained on.
+async fn read_history(node: &Node, end: u64) -> Result<Vec<Entry>, Error> {
+    let mut entries = Vec::new();
+    let mut from = end.saturating_sub(HISTORY_RECORDS);
+    while from < end {
+        match node.log.read(OPERATORS, from, Duration::ZERO, CALL_TIMEOUT).await {
+            Ok(batch) if batch.next == from => break,
+            Ok(batch) => {
+                from = batch.next;
+                entries.extend(batch.entries);
+            }
+            Err(Error::Expired { first }) if from < first => from = first,
+            Err(err) => return Err(err),
         }
     }
+    Ok(entries)
 }
 
 async fn read_newest(node: &Node, part: Partition) -> Result<ReadResult, Error> {
--- a/fleet/tests/test_moved_queue.rs
+++ b/fleet/tests/test_moved_queue.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,6 +24,12 @@
     owners: Mutex<Vec<(u32, String)>>,
     /// Partitions to which requests were appended.
     appends: Mutex<Vec<u32>>,
+    /// Whether reads of earlier configurations fail.
+    fails_history: AtomicBool,
+    /// Partitions that any member of the group gets.
+    assigned: Mutex<Vec<u32>>,
+    /// Number of appends by owners.
+    owner_appends: AtomicUsize,
 }
 
 impl FakeLog {
@@ -45,6 +52,9 @@
                 .into_bytes();
         }
         if target.contains("/log-read") {
+            if is_config && parameter("waitMs").as_deref() == Some("0") && self.fails_history.load(Ordering::SeqCst) {
+                return Vec::new();
+            }
             let from: usize = parameter("from").unwrap().parse().unwrap();
             let mut body = vec![0; 16];
             for config in configs.iter().skip(from).filter(|_| is_config) {
@@ -64,7 +74,12 @@
         if target.contains("/log-append") && parameter("topic").as_deref() == Some("keyed.requests") {
             self.appends.lock().unwrap().push(parameter("part").unwrap().parse().unwrap());
         }
-        br#"{"generation":1,"parts":[]}"#.to_vec()
+        if target.contains("/log-append") && parameter("topic").as_deref() == Some("keyed.jobs") {
+            self.owner_appends.fetch_add(1, Ordering::SeqCst);
+        }
+        let assigned = self.assigned.lock().unwrap();
+        let rows: Vec<_> = assigned.iter().map(|part| ("keyed.jobs", part, 0)).collect();
+        serde_json::json!({ "generation": 1, "parts": rows }).to_string().into_bytes()
     }
 
     /// Returns the partitions of the appends since the last call.
@@ -156,6 +171,11 @@
 
 /// Starts an instance and returns its address for callers.
 async fn start_instance(log_addr: SocketAddr) -> SocketAddr {
+    start_instance_with_readiness(log_addr).await.0
+}
+
+/// Starts an instance and returns its addresses for callers and for the check of its readiness.
+async fn start_instance_with_readiness(log_addr: SocketAddr) -> (SocketAddr, SocketAddr) {
     let mut addrs = Vec::new();
     for _ in 0..4 {
         addrs.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -168,20 +188,27 @@
         .replace("127.0.0.1:7804", &addrs[3].to_string())
         .replace("log = 127.0.0.1:7700", &format!("log = {log_addr}"));
     let settings = Settings::parse("fleet.ini", &text).unwrap();
+    let readiness_addr = settings.readiness_addr;
     tokio::spawn(oriole_fleet::run(settings, PathBuf::from("fleet.ini")));
-    addrs[0]
+    (addrs[0], readiness_addr)
 }
 
 /// Sends a request to an instance and returns the status of the response.
 async fn send(addr: SocketAddr, method: &str, path: &str, body: &str) -> u16 {
+    exchange(addr, method, path, body).await.0
+}
+
+/// Sends a request to an instance and returns the status and the body of the response.
+async fn exchange(addr: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
     let Ok(mut stream) = TcpStream::connect(addr).await else {
-        return 0;
+        return (0, String::new());
     };
     let length = body.len();
     let request = format!("{method} {path} HTTP/1.1\r\nhost: h.example\r\ncontent-length: {length}\r\n\r\n{body}");
     stream.write_all(request.as_bytes()).await.unwrap();
-    let (first, _) = read_message(&mut stream).await.unwrap();
-    first.split(' ').nth(1).unwrap().parse().unwrap()
+    let (first, body) = read_message(&mut stream).await.unwrap();
+    let status = first.split(' ').nth(1).unwrap().parse().unwrap();
+    (status, String::from_utf8(body).unwrap())
 }
 
 /// Waits until a version of the configuration is in effect at an instance.
@@ -275,3 +302,50 @@
     let appends = log.take_appends();
     assert!(appends.contains(&former), "{appends:?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_knows_no_former_pools_refuses_requests() {
+    // It stored submissions for the current pool without asking the former owner, and both ran
+    // the job. Its cancels did not reach the former pool.
+    let (log, log_addr) = start_log().await;
+    let earlier = start_instance(log_addr).await;
+    wait_for_version(earlier, 1).await;
+    let former = submit(&log, earlier, "00000000000000e1").await;
+    log.fails_history.store(true, Ordering::SeqCst);
+    log.configs.lock().unwrap().push(config(2, "next"));
+    let (later, readiness) = start_instance_with_readiness(log_addr).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    for method in ["POST", "DELETE", "GET"] {
+        let (status, body) = exchange(later, method, "/queue/00000000000000e1", JOB).await;
+        assert_eq!((status, body.contains("no_configuration_history")), (503, true), "{method}: {body}");
+    }
+    assert!(log.take_appends().is_empty());
+    assert_eq!(send(readiness, "GET", "/readyz", "").await, 503);
+    // It serves soon after the log answers.
+    log.fails_history.store(false, Ordering::SeqCst);
+    tokio::time::timeout(Duration::from_secs(2), wait_for_version(later, 2))
+        .await
+        .unwrap();
+    assert_eq!(send(readiness, "GET", "/readyz", "").await, 200);
+    assert_eq!(submit(&log, later, "00000000000000e1").await, former);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_that_knows_no_former_pools_does_not_take_over() {
+    // It admitted submissions of queues that had moved to other pools.
+    let (log, log_addr) = start_log().await;
+    log.fails_history.store(true, Ordering::SeqCst);
+    log.assigned.lock().unwrap().push(3);
+    let addr = start_instance(log_addr).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(log.owner_appends.load(Ordering::SeqCst), 0);
+    log.fails_history.store(false, Ordering::SeqCst);
+    wait_for_version(addr, 1).await;
+    for _ in 0..40 {
+        if log.owner_appends.load(Ordering::SeqCst) != 0 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the owner does not take over");
+}
