--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -106,7 +106,14 @@
     for index in 0..4 {
         fixture.confirm_start(index, 700);
     }
-    let (now, cancel) = (fixture.now, Request::Cancel { at_ms: 0, team: None });
+    let (now, cancel) = (
+        fixture.now,
+        Request::Cancel {
+            at_ms: 0,
+            team: None,
+            addressee: None,
+        },
+    );
     let applied = fixture.owner.try_apply(&key("bad"), |it| {
         it.add_request(now, key("bad"), cancel);
         panic!("an odd request");
