group: an owner that panics does not take the process's other partitions along

When the owner of one partition panicked, or one of its calls did, the process dropped the owners of all its partitions within a join interval, left the group and joined again. A cause of the panic that moves with the partition did the same to each next instance, twice a second.

The group gives partitions of a member to others only if it leaves with all of them, and a restart under the same epoch is not safe, as commits and orders of the owner that panicked may still be on their way. So the process now keeps its other partitions and waits before it leaves: 1 s after the first panic of that partition's owner, twice as long after each further one up to 16 s, counted from one again after ten minutes without. If the group changes meanwhile, the partition is taken again once the time is over. An `owner_panicked` line names the partition, its epoch and the time. A call that panics counts as a panic of its owner, which it ended before as well.

No test makes an owner of a running instance panic, as no input is known that does.

--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -172,6 +172,10 @@
             let _ = owner.events.send(Event::PartitionListed { since, sent });
             continue;
         }
+        // Leaving the group moves all partitions of this member, so it waits after a panic.
+        if node.is_backing_off(*part) {
+            continue;
+        }
         if owned.get(part).is_some_and(|it| assignment.generation <= it.epoch) {
             node.decision_log.write(
                 "ownership",
@@ -184,7 +188,7 @@
         let epoch = assignment.generation;
         node.decision_log
             .write("ownership", json!({ "part": part, "generation": epoch, "outcome": "won" }));
-        tokio::spawn(owner::run(node.clone(), *part, epoch, events.clone(), receiver));
+        tokio::spawn(run_owner(node.clone(), *part, epoch, events.clone(), receiver));
         let tenure = Tenure::new(epoch);
         owned.insert(*part, OwnedPartition { epoch, tenure, events });
         node.partition_acquired.notify_one();
@@ -192,6 +196,24 @@
     true
 }
 
+/// Runs the owner of a partition, with a line in the decision log if it panics.
+async fn run_owner(
+    node: Arc<Node>,
+    part: PartitionId,
+    epoch: u64,
+    events: mpsc::UnboundedSender<Event>,
+    receiver: mpsc::UnboundedReceiver<Event>,
+) {
+    let ended = tokio::spawn(owner::run(node.clone(), part, epoch, events, receiver)).await;
+    if ended.is_err_and(|it| it.is_panic()) {
+        let delay = node.record_owner_panic(part);
+        node.decision_log.write(
+            "owner_panicked",
+            json!({ "part": part, "epoch": epoch, "retry_ms": delay.as_millis() as u64 }),
+        );
+    }
+}
+
 /// Gives all partitions up through another instance, as an owner that the log does not
 /// answer can record no placement. Returns false if that instance cannot reach the log
 /// either, or does not answer; then the partitions are kept, and running work goes on.
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -26,6 +26,7 @@
 use crate::owner::Event;
 use crate::request_log::RequestLog;
 use crate::settings::{PlatformBounds, Settings};
+use crate::supervisor::Backoff;
 use crate::{clock, decision_log, group};
 
 /// Time after the sending of a confirmed join during which the coordinator may act.
@@ -105,6 +106,8 @@
     pub(crate) refresh_owners: tokio::sync::Notify,
     /// Partitions whose owner runs in this process.
     owned_partitions: Mutex<HashMap<PartitionId, OwnedPartition>>,
+    /// Delays after panics of owners in this process, by partition.
+    owner_backoffs: Mutex<HashMap<PartitionId, Backoff>>,
     /// Signals that this instance has acquired a partition.
     pub(crate) partition_acquired: tokio::sync::Notify,
     /// Reports that this instance has received as the fleet coordinator.
@@ -144,6 +147,7 @@
             owner_census: ArcSwap::default(),
             refresh_owners: tokio::sync::Notify::new(),
             owned_partitions: Mutex::new(HashMap::new()),
+            owner_backoffs: Mutex::new(HashMap::new()),
             coordinator_state: Mutex::new(CoordinatorState::default()),
             peers: Mutex::new(HashMap::new()),
             log_reachability: Mutex::default(),
@@ -185,6 +189,23 @@
         self.owned_partitions.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Records that the owner of a partition panicked. Returns the time until this instance takes
+    /// the partition again.
+    pub(crate) fn record_owner_panic(&self, part: PartitionId) -> Duration {
+        self.lock_owner_backoffs().entry(part).or_default().record_panic(clock::now().mono)
+    }
+
+    /// Returns whether this instance leaves a partition alone for a time as its owner panicked.
+    pub(crate) fn is_backing_off(&self, part: PartitionId) -> bool {
+        let backoffs = self.lock_owner_backoffs();
+        backoffs.get(&part).is_some_and(|it| !it.is_over(clock::now().mono))
+    }
+
+    /// Locks the delays after panics of owners, which are changed as a whole.
+    fn lock_owner_backoffs(&self) -> MutexGuard<'_, HashMap<PartitionId, Backoff>> {
+        self.owner_backoffs.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
     /// Locks the state of the coordinator, whose entries are replaced as a whole.
     pub(crate) fn lock_coordinator_state(&self) -> MutexGuard<'_, CoordinatorState> {
         self.coordinator_state.lock().unwrap_or_else(|it| it.into_inner())
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -234,10 +234,11 @@
                 self.execute(action);
             }
             while let Some(ended) = self.background_tasks.try_join_next() {
-                // The result of a call that panicked never comes. The group assigns the partition
-                // anew once this owner has ended.
-                if ended.is_err() {
-                    return;
+                // The result of a call that panicked never comes.
+                if let Err(err) = ended
+                    && let Ok(panic) = err.try_into_panic()
+                {
+                    std::panic::resume_unwind(panic);
                 }
             }
         }
