owner: an answer of an earlier incarnation ends no run

A status that an earlier incarnation of a worker had given, handled after one of the next, counted as another restart: the runs in progress were given up and placed again. The answer to a stop that was sent before a worker fell silent counted as an answer of the present, and its leases were renewed.

Cause: any other start time counts as a restart, as start times cannot be ordered: the time of day may be set back. Nothing told whether the request was older than what was known. With one status request in flight, and answers dropped after the time limit, no order of events was found in which the owner gets such a status; that rested on the client alone.

Evidence: three unit tests in test_incarnation failed before: the late status started a second run, the worker was not asked again after it, and the late answer renewed the lease.

Change: contacts order what start times cannot. Each restart that a status shows begins a contact, and a status under an earlier one that names another incarnation changes nothing; if it was the next restart, the following status shows it. Where no start order can still arrive, the worker takes work at once, as before. The answer to an order counts as an answer of the worker only under the present contact. Clock readings need no rule of their own: of an earlier contact, only those of the present incarnation are taken.

--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -130,6 +130,9 @@
     pub started_ms: u64,
     /// Contact under which the worker is called.
     pub contact: ContactId,
+    /// Contact that was begun when a restart was reported last; zero if none was. Only answers
+    /// under it or a later one certainly come from that incarnation or a later one.
+    pub incarnation_contact: ContactId,
     /// Whether the worker has reported its runs under the current contact, so that it carries out
     /// no call of an earlier one.
     pub is_observed: bool,
@@ -182,6 +185,7 @@
             is_listed: true,
             started_ms: 0,
             contact,
+            incarnation_contact: 0,
             is_observed: false,
             first_observed_ms: 0,
             has_unreadable_rows: false,
@@ -240,6 +244,12 @@
         self.started_ms != 0 && started_ms != 0 && self.started_ms != started_ms
     }
 
+    /// Whether a status under a contact may come from an earlier incarnation than the last one.
+    /// Start times cannot tell, as the time of day of a worker may be set back.
+    pub fn is_outdated(&self, contact: ContactId, started_ms: u64) -> bool {
+        contact < self.incarnation_contact && self.started_ms != started_ms
+    }
+
     /// Resets the state for a new incarnation of the worker. Returns the runs that were lost with
     /// the earlier one; those that it never listed stay, as the new one may have been given the
     /// start order. A renewal computed for the clock of the earlier incarnation may have reached
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -19,6 +19,9 @@
             return;
         };
         worker.status_requested = false;
+        if worker.is_outdated(contact, status.started_ms) {
+            return;
+        }
         let has_restarted = worker.has_restarted(status.started_ms);
         if has_restarted {
             self.worker_restarted(now, id, status.started_ms);
@@ -76,12 +79,23 @@
         self.stop_stalled(now, id);
         let worker = self.workers.get_mut(id).expect("looked up above");
         worker.next_status_request = now.mono + MIN_STATUS_INTERVAL;
-        // Orders of this contact may still reach the new incarnation, which knows no other one.
-        if has_restarted && worker.runs.values().any(|it| it.may_start() && contact <= it.contact) {
-            self.begin_contact(now, id);
+        if has_restarted {
+            self.begin_contact_with_incarnation(now, id, contact);
         }
     }
 
+    /// Begins a contact with a new incarnation, which reported under `contact`.
+    fn begin_contact_with_incarnation(&mut self, now: Now, id: &InstanceId, contact: ContactId) {
+        let worker = self.workers.get_mut(id).expect("the caller checked that the worker is known");
+        // Orders of this contact may still reach the new incarnation, which knows no other one.
+        let may_start = worker.runs.values().any(|it| it.may_start() && contact <= it.contact);
+        let is_observed = worker.is_observed && !may_start;
+        self.begin_contact(now, id);
+        let worker = self.workers.get_mut(id).expect("looked up above");
+        worker.is_observed = is_observed;
+        worker.incarnation_contact = worker.contact;
+    }
+
     /// Handles the restart of a worker, which has lost the runs of its earlier incarnation.
     fn worker_restarted(&mut self, now: Now, id: &InstanceId, started_ms: u64) {
         let worker = self.workers.get_mut(id).expect("the caller checked that the worker is known");
@@ -204,9 +218,10 @@
     /// ends only when the worker lists its end.
     pub fn order_answered(&mut self, id: &InstanceId, contact: ContactId, outcome: OrderOutcome) {
         match outcome {
-            OrderOutcome::Done { .. } => self.record_answer(id),
+            // Under an earlier contact, the answer may be from before the worker fell silent.
+            OrderOutcome::Done { .. } if self.workers.get(id).is_some_and(|it| it.contact == contact) => self.record_answer(id),
             OrderOutcome::Refused(Refusal::Fenced) => self.call_fenced(id, contact),
-            OrderOutcome::Refused(_) => {}
+            OrderOutcome::Done { .. } | OrderOutcome::Refused(_) => {}
             OrderOutcome::Lost => {
                 self.record_missed_answer(id);
                 // The order may have been one to change the speed of a run.
--- a/lib/tests/test_incarnation.rs
+++ b/lib/tests/test_incarnation.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolewall::order::{OrderOutcome, Refusal, RunOutcome};
+use oriolewall::order::{ContactId, OrderOutcome, Refusal, RunOutcome};
 use oriolewall::query::JobStatus;
+use oriolewall::worker::RunKey;
 use testutils::owner::{LEASE, OwnerFixture, RENEWAL_WINDOW, run_end, step, submit, worker};
 
 /// An owner with two workers whose start order to the first of the returned workers was sent
@@ -216,6 +217,67 @@
     }
 }
 
+/// An owner whose only worker started again at 2000 and has listed the run of the only task
+/// since. Also returns the contact under which the first incarnation was called.
+fn owner_with_run_on_second_incarnation() -> (OwnerFixture, RunKey, ContactId) {
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    let earlier = fixture.contact("w1");
+    list_start_time(&mut fixture, "w1", 2000);
+    fixture.advance_ms(50);
+    fixture.report_incarnation("w1", 2000, 10, vec![], vec![]);
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(100);
+    let key = fixture.starts[0].key.clone();
+    fixture.report_incarnation("w1", 2000, 110, vec![key.clone()], vec![]);
+    fixture.advance_ms(100);
+    (fixture, key, earlier)
+}
+
+#[test]
+fn an_answer_that_an_earlier_incarnation_gave_ends_no_run_of_the_present_one() {
+    let (mut fixture, key, earlier) = owner_with_run_on_second_incarnation();
+    let present = fixture.contacts.insert(Arc::from("w1"), earlier).unwrap();
+    fixture.report_incarnation("w1", 1000, 900, vec![], vec![]);
+    fixture.contacts.insert(Arc::from("w1"), present);
+    fixture.advance_ms(50);
+    fixture.report_incarnation("w1", 2000, 260, vec![key], vec![]);
+    fixture.advance_ms(100);
+    assert_eq!(fixture.starts.len(), 1, "the run is in progress");
+    assert!(fixture.stops.is_empty(), "{:?}", fixture.stops);
+}
+
+#[test]
+fn a_restart_that_an_answer_under_an_earlier_contact_shows_is_noticed_under_the_present_one() {
+    let (mut fixture, _, earlier) = owner_with_run_on_second_incarnation();
+    let present = fixture.contacts.insert(Arc::from("w1"), earlier).unwrap();
+    fixture.report_incarnation("w1", 3000, 10, vec![], vec![]);
+    fixture.contacts.insert(Arc::from("w1"), present);
+    let requests = fixture.status_requests.len();
+    fixture.advance_ms(100);
+    assert!(requests < fixture.status_requests.len(), "the worker is asked again");
+    list_start_time(&mut fixture, "w1", 3000);
+    fixture.report_incarnation("w1", 3000, 110, vec![], vec![]);
+    fixture.advance_ms(100);
+    fixture.report_incarnation("w1", 3000, 210, vec![], vec![]);
+    fixture.advance_ms(100);
+    assert_eq!(fixture.starts.len(), 2, "the run ended with its incarnation");
+}
+
+#[test]
+fn an_answer_to_an_order_of_an_earlier_contact_renews_no_lease() {
+    // A stop was answered late, and the leases of a worker that no longer answers were renewed.
+    let (mut fixture, key, _) = owner_with_run_on_second_incarnation();
+    let earlier = fixture.contact("w1");
+    fixture.fail_status("w1", OrderOutcome::Lost);
+    fixture
+        .owner
+        .order_answered(&Arc::from("w1"), earlier, OrderOutcome::Done { clock_ms: 250 });
+    let requests = fixture.status_requests.len();
+    fixture.advance_ms(450);
+    let sent = &fixture.status_requests[requests..];
+    assert!(!sent.is_empty() && sent.iter().all(|it| it.2.is_none()), "{key:?}: {sent:?}");
+}
+
 #[test]
 fn a_run_that_a_new_incarnation_has_done_is_not_repeated_for_a_later_run_that_it_does_not_list() {
     // The new owner discarded the end, as it expected the later run there, and placed a third one.
