--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -130,7 +130,7 @@
     pub started_ms: u64,
     /// Contact under which the worker is called.
     pub contact: ContactId,
-    /// Contact that was begun when a restart was reported last; unnumbered if none was. Only
+    /// Contact that was begun when a restart was reported last; unnumbered if none was. Only answers
     /// under it or a later one certainly come from that incarnation or a later one.
     pub incarnation_contact: ContactId,
     /// Whether the worker has reported its runs under the current contact, so that it carries out
