owner: a start that got no answer is fenced at once

Callers saw a task run again after it had ended done (TWICE). A start to a worker got no answer; the owner kept its contact and waited until the order had expired on the worker's clock. A later incarnation has a new clock and was called under the same contact, so it carried out the first order even after the owner had called it. A restart gave a new contact only while runs were known that might start, so late acknowledgements of the earlier incarnation removed ends that nobody had read.

A start without an answer, and each restart that an answer under a contact in use shows, begin a new contact. The status request under it no longer waits for the one in flight, for which a worker has a second connection. An answer under an earlier contact is ignored once the worker has answered under the later one, so it can't end runs of a later incarnation.

--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -146,7 +146,7 @@
     pub last_end_seen: u64,
     /// Number of the latest run end whose effect is in the log, so that the worker may drop it.
     pub last_end_recorded: u64,
-    /// Whether a status request is in flight.
+    /// Whether a status request under the current contact is in flight.
     pub status_requested: bool,
     /// When the next status request is due.
     pub next_status_request: Duration,
@@ -229,10 +229,12 @@
     }
 
     /// Calls the worker under a new contact from now on. Until it answers under that contact,
-    /// calls of earlier ones may still be carried out.
+    /// calls of earlier ones may still be carried out, so the next status request does not wait
+    /// for the answer to an earlier one.
     pub fn begin_contact(&mut self, contact: ContactId) {
         self.contact = contact;
         self.is_observed = false;
+        self.status_requested = false;
     }
 
     /// Whether a status comes from another incarnation than the last one.
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -18,7 +18,14 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.status_requested = false;
+        let is_current = contact == worker.contact;
+        // The worker has answered under a later contact, so this answer may be of an earlier incarnation.
+        if !is_current && worker.is_observed {
+            return;
+        }
+        worker.status_requested &= !is_current;
+        // The first call under a contact gives no order and acknowledges nothing.
+        let is_first_answer = is_current && !worker.is_observed;
         let has_restarted = worker.has_restarted(status.started_ms);
         if has_restarted {
             self.worker_restarted(now, id, status.started_ms);
@@ -31,7 +38,7 @@
         if status.started_ms != 0 {
             worker.started_ms = status.started_ms;
         }
-        worker.is_observed |= contact == worker.contact;
+        worker.is_observed |= is_current;
         if worker.first_observed_ms == 0 {
             worker.first_observed_ms = status.clock_ms;
         }
@@ -66,8 +73,9 @@
         self.stop_stalled(now, id);
         let worker = self.workers.get_mut(id).expect("looked up above");
         worker.next_status_request = now.mono + MIN_STATUS_INTERVAL;
-        // Orders of this contact may still reach the new incarnation, which knows no other one.
-        if has_restarted && worker.runs.values().any(|it| it.may_start() && contact <= it.contact) {
+        // Calls of this contact may still reach the new incarnation, which knows no other one: starts
+        // of runs that were given up, and acknowledgements of ends.
+        if has_restarted && !is_first_answer {
             self.begin_contact(now, id);
         }
     }
@@ -115,7 +123,7 @@
         if outcome == OrderOutcome::Refused(Refusal::Fenced) {
             self.call_fenced(id, contact);
         }
-        let Some(worker) = self.workers.get_mut(id) else {
+        let Some(worker) = self.workers.get_mut(id).filter(|it| it.contact == contact) else {
             return;
         };
         worker.status_requested = false;
@@ -147,7 +155,13 @@
                     }
                 }
             }
-            OrderOutcome::Lost => self.record_missed_answer(id),
+            OrderOutcome::Lost => {
+                self.record_missed_answer(id);
+                // The order may come seconds late, to an incarnation that knows no later contact.
+                if self.workers.get(id).is_some_and(|it| it.contact == contact) {
+                    self.begin_contact(now, id);
+                }
+            }
             OrderOutcome::Refused(reason) => self.start_refused(now, id, key, contact, reason),
         }
     }
