owner: the clock in the answer to a start shows a restart

Callers saw a task run again after it had ended done (TWICE): a worker had restarted, its next incarnation answered a start, and a status request to the earlier one, seconds late, acknowledged the end of that run before the owner had read it. The owner learns of a restart from a status only, and none was sent while that request was in flight.

A clock never goes back while an incarnation lasts, so an answer from before the clock at sending is of another one. The owner then begins a new contact, and its status request has the late one refused.

Evidence: the test failed on the code before (no new contact).

--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -15,6 +15,7 @@
 use crate::job_record::{JobKey, TaskKey};
 use crate::order::ContactId;
 use crate::resources::Resources;
+use crate::scheduler::START_EXPIRY;
 
 /// Rate of the slowest worker clock relative to true time; the platform guarantees clocks at
 /// most 2% slow.
@@ -415,6 +416,13 @@
         self.phase != RunPhase::Intended && !self.was_listed
     }
 
+    /// Whether the start order was answered by another incarnation than the one that it was sent
+    /// to: a clock never goes back while an incarnation lasts. Zero stands for an unknown time.
+    pub fn is_answer_of_other_incarnation(&self, clock_ms: u64) -> bool {
+        let longest_ms = START_EXPIRY.as_millis() as u64;
+        self.phase == RunPhase::Sent && clock_ms != 0 && clock_ms.saturating_add(longest_ms) < self.order_expires_ms
+    }
+
     /// Whether the run has certainly ended or will never start, given that the worker did not
     /// list it in an answer under `contact` when its clock showed `clock_ms`.
     pub fn has_ended(&self, contact: ContactId, clock_ms: u64) -> bool {
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -148,6 +148,10 @@
                 self.record_answer(id);
                 let worker = self.workers.get_mut(id);
                 if let Some(run) = worker.and_then(|it| it.runs.get_mut(key)) {
+                    if run.is_answer_of_other_incarnation(clock_ms) {
+                        self.begin_contact(now, id);
+                        return;
+                    }
                     run.last_seen_ms = run.last_seen_ms.max(clock_ms);
                     run.progress_changed_at = now.mono;
                     if run.phase == RunPhase::Sent {
--- a/lib/tests/test_late_call.rs
+++ b/lib/tests/test_late_call.rs
@@ -50,6 +50,18 @@
     assert!(before < fixture.contact("w1"), "calls of contact {before} may still arrive");
 }
 
+#[test]
+fn an_answer_from_before_the_clock_at_sending_shows_a_restart() {
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    // The status request in flight may reach the new incarnation late and acknowledge its ends.
+    fixture.advance_ms(200);
+    let before = fixture.contact("w1");
+    fixture.confirm_start(0, 20);
+    fixture.advance_ms(10);
+    assert!(before < fixture.contact("w1"), "calls of contact {before} may still arrive");
+}
+
 #[test]
 fn an_unanswered_start_is_settled_while_an_earlier_status_request_waits() {
     let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1"), worker("w2")]);
