owner: the ownership counts from when the log was asked for it

A new owner took the time at which the log had answered its epoch's append as the confirmation. A process that was paused after the append was carried out, or whose answer came late, counted 2.2 s of ownership from when it went on: it renewed leases although the group had given the partition to another owner, which may have given these runs up on workers that it cannot reach and run their tasks again.

The confirmation now counts from when the append was sent, as for commits and joins. Runs that earlier owners placed are still counted from the answer: earlier owners are fenced only then. The test fails on the code before, which renews the lease of the inherited run at the second status request; with the change it renews none.

--- a/bench/src/measure/owner.rs
+++ b/bench/src/measure/owner.rs
@@ -127,7 +127,7 @@
         wall: Duration::from_secs(1_700_000_000),
     };
     let start = now.mono;
-    let mut owner = Scheduler::new(limits(), now);
+    let mut owner = Scheduler::new(limits(), now, now.mono);
     let mut simulated: BTreeMap<InstanceId, SimulatedWorker> = BTreeMap::new();
     let all: Vec<ListedWorker> = (0..workers).map(listed).collect();
     all.iter()
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -302,9 +302,9 @@
                 self.log_ownership(since, "unconfirmed");
                 let (node, events, part, epoch) = (self.node.clone(), self.events.clone(), self.part, self.epoch);
                 self.background_tasks.spawn(async move {
-                    let sent = clock::now().mono;
                     let result = set_epoch(&node, part, epoch).await;
-                    let _ = events.send(Event::OwnershipChecked(since, result.map(|()| sent)));
+                    // The event loop may have ended since.
+                    let _ = events.send(Event::OwnershipChecked(since, result));
                 });
             }
         }
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -47,16 +47,17 @@
         topic: REQUESTS,
         number: part,
     };
-    while let Err(err) = set_epoch(node, part, epoch).await {
-        match err {
-            Error::Fenced => return None,
-            err => watch::report_log_error(node, "epoch", &err),
+    let confirmed_at = loop {
+        match set_epoch(node, part, epoch).await {
+            Ok(sent) => break sent,
+            Err(Error::Fenced) => return None,
+            Err(err) => watch::report_log_error(node, "epoch", &err),
         }
         if !still_owned(node, part, epoch) {
             return None;
         }
         tokio::time::sleep(RETRY_DELAY).await;
-    }
+    };
     let now = clock::now();
     let lease_max = node.bounds.load().lease_max;
     let limits = TimeLimits {
@@ -65,7 +66,7 @@
         renewal_window: RENEWAL_WINDOW,
         stop_time: node.bounds.load().stop_max,
     };
-    let mut scheduler = Scheduler::new(limits, now).with_token_form(node.settings.token_form);
+    let mut scheduler = Scheduler::new(limits, now, confirmed_at).with_token_form(node.settings.token_form);
     // Requests of queues that have moved to another pool are handed on.
     scheduler.set_catalog(catalog);
     for entry in read_newest_with_retry(node, jobs, epoch).await?.entries {
@@ -112,16 +113,18 @@
     Some((scheduler, next))
 }
 
-/// Sets the epoch of an owner in the log. Changes nothing if it is set, and fails with
-/// [`Error::Fenced`] if a later owner has set its own.
-pub(crate) async fn set_epoch(node: &Node, part: PartitionId, epoch: u64) -> Result<(), Error> {
+/// Sets the epoch of an owner in the log, and returns the monotonic time at which the call was
+/// sent. Changes nothing if the epoch is set, and fails with [`Error::Fenced`] if a later owner has
+/// set its own.
+pub(crate) async fn set_epoch(node: &Node, part: PartitionId, epoch: u64) -> Result<Duration, Error> {
+    let sent = clock::now().mono;
     let jobs = Partition { topic: JOBS, number: part };
     let position = AppendPosition { epoch, sequence: 0 };
     match node.log.append(jobs, Some(position), &[], CALL_TIMEOUT).await {
         // The sequence number does not matter here: an empty append only sets the epoch,
         // which has happened even if the log expects another number.
-        Err(Error::OutOfSequence { .. }) => Ok(()),
-        result => result,
+        Ok(()) | Err(Error::OutOfSequence { .. }) => Ok(sent),
+        Err(err) => Err(err),
     }
 }
 
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -123,7 +123,7 @@
 #[derive(Debug)]
 pub struct Scheduler {
     pub(crate) limits: TimeLimits,
-    /// When this owner set its epoch in the log.
+    /// When this owner knew that its epoch is set in the log, so that earlier ones are fenced.
     pub(crate) acquired_at: Duration,
     /// Send time of the latest call by which the log, or the group of owners, confirmed this
     /// owner.
@@ -184,12 +184,13 @@
 }
 
 impl Scheduler {
-    /// Creates an owner that has just set its epoch in the log.
-    pub fn new(limits: TimeLimits, now: Now) -> Scheduler {
+    /// Creates an owner that has set its epoch in the log by a call that was sent at
+    /// `confirmed_at`. The process may have been paused since.
+    pub fn new(limits: TimeLimits, now: Now, confirmed_at: Duration) -> Scheduler {
         Scheduler {
             limits,
             acquired_at: now.mono,
-            confirmed_at: now.mono,
+            confirmed_at,
             catalog: Arc::default(),
             jobs: HashMap::new(),
             open_jobs: BTreeSet::new(),
--- a/lib/tests/pool_world/faults.rs
+++ b/lib/tests/pool_world/faults.rs
@@ -57,7 +57,7 @@
             return;
         }
         let resumes_ms = self.now_ms + self.draw(100..12_000);
-        let placeholder = Scheduler::new(time_limits(), self.now());
+        let placeholder = Scheduler::new(time_limits(), self.now(), self.now().mono);
         let owner = std::mem::replace(&mut self.owner, placeholder);
         self.paused_owners.push(PausedOwner {
             owner,
--- a/lib/tests/pool_world/mod.rs
+++ b/lib/tests/pool_world/mod.rs
@@ -198,7 +198,7 @@
             paused_owners: Vec::new(),
             now_ms: 0,
             workers: names.map(|it| (it, worker(()))).collect(),
-            owner: Scheduler::new(time_limits(), Now::default()),
+            owner: Scheduler::new(time_limits(), Now::default(), Duration::ZERO),
             epoch: 0,
             log: BTreeMap::new(),
             requests: Vec::new(),
@@ -245,7 +245,7 @@
         self.commit_in_flight = None;
         let has_epoch_form = self.token_rng.as_mut().is_some_and(|it| it.random_bool(0.5));
         let token_form = if has_epoch_form { TokenForm::Epoch } else { TokenForm::Contact };
-        self.owner = Scheduler::new(time_limits(), self.now()).with_token_form(token_form);
+        self.owner = Scheduler::new(time_limits(), self.now(), self.now().mono).with_token_form(token_form);
         for (id, value) in &self.log {
             match id.strip_prefix(SILENT_WORKER_PREFIX) {
                 Some(worker) => self
--- a/lib/tests/test_incarnation.rs
+++ b/lib/tests/test_incarnation.rs
@@ -254,7 +254,11 @@
     fixture.contacts.insert(Arc::from("w1"), present);
     let requests = fixture.status_requests.len();
     fixture.advance_ms(100);
-    assert_eq!(requests, fixture.status_requests.len(), "a request under the present contact is in flight");
+    assert_eq!(
+        requests,
+        fixture.status_requests.len(),
+        "a request under the present contact is in flight"
+    );
     list_start_time(&mut fixture, "w1", 3000);
     fixture.report_incarnation("w1", 3000, 110, vec![], vec![]);
     fixture.advance_ms(100);
@@ -298,3 +302,27 @@
     assert!(fixture.starts.is_empty(), "{:?}", fixture.starts);
     assert_eq!(fixture.owner.job_status(&Arc::from("job"), None), Some(JobStatus::Completed));
 }
+
+#[test]
+fn an_owner_that_was_paused_at_its_takeover_renews_no_lease_and_starts_no_run() {
+    // It counted its ownership from when it went on, and kept a run alive that the next owner had
+    // given up.
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(100);
+    let key = fixture.starts[0].key.clone();
+    fixture.confirm_start(0, 650);
+    fixture.replace_owner_paused(RENEWAL_WINDOW);
+    fixture.confirms_commits = false;
+    fixture.refresh_config();
+    fixture.add_request("other", submit("", vec![step(1, 1000)]));
+    let requests = fixture.status_requests.len();
+    for clock_ms in [5000, 5100] {
+        fixture.advance_ms(100);
+        fixture.report_status("w1", clock_ms, vec![key.clone()], vec![]);
+    }
+    fixture.advance_ms(100);
+    let sent = &fixture.status_requests[requests..];
+    assert!(2 <= sent.len() && sent.iter().all(|it| it.2.is_none()), "{sent:?}");
+    assert!(fixture.starts.is_empty(), "{:?}", fixture.starts);
+}
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -69,6 +69,15 @@
     }
 }
 
+fn time_limits() -> TimeLimits {
+    TimeLimits {
+        lease: LEASE,
+        lease_max: 2 * LEASE,
+        renewal_window: RENEWAL_WINDOW,
+        stop_time: STOP_TIME,
+    }
+}
+
 /// A listed worker of the only pool.
 pub fn worker(id: &str) -> ListedWorker {
     ListedWorker {
@@ -151,15 +160,9 @@
 impl OwnerFixture {
     /// Creates an owner that knows the configuration and the listed workers.
     pub fn new(workers: Vec<ListedWorker>) -> OwnerFixture {
-        let limits = TimeLimits {
-            lease: LEASE,
-            lease_max: 2 * LEASE,
-            renewal_window: RENEWAL_WINDOW,
-            stop_time: STOP_TIME,
-        };
         let mut fixture = OwnerFixture {
             now: time_at(0),
-            owner: Scheduler::new(limits, time_at(0)),
+            owner: Scheduler::new(time_limits(), time_at(0), time_at(0).mono),
             catalog: catalog(),
             workers,
             stored: HashMap::new(),
@@ -198,13 +201,22 @@
 
     /// Replaces the owner by a new one whose fencing tokens have this form.
     pub fn replace_owner_with(&mut self, token_form: TokenForm) {
-        let limits = TimeLimits {
-            lease: LEASE,
-            lease_max: 2 * LEASE,
-            renewal_window: RENEWAL_WINDOW,
-            stop_time: STOP_TIME,
-        };
-        self.owner = Scheduler::new(limits, self.now).with_token_form(token_form);
+        self.owner = Scheduler::new(time_limits(), self.now, self.now.mono).with_token_form(token_form);
+        self.load_stored();
+    }
+
+    /// Replaces the owner by a new one whose process was paused for `pause` after the log was asked
+    /// to set its epoch.
+    pub fn replace_owner_paused(&mut self, pause: Duration) {
+        let confirmed_at = self.now.mono;
+        self.now.mono += pause;
+        self.now.wall += pause;
+        self.owner = Scheduler::new(time_limits(), self.now, confirmed_at);
+        self.load_stored();
+    }
+
+    /// Restores the state of the owner from the log.
+    fn load_stored(&mut self) {
         for (id, value) in &self.stored {
             match id.strip_prefix(SILENT_WORKER_PREFIX) {
                 Some(worker) => self
