--- a/fleet/tests/test_soak/process.rs
+++ b/fleet/tests/test_soak/process.rs
@@ -133,7 +133,11 @@
     /// Appends a comment to the settings file.
     pub(crate) fn touch_settings(&self) {
         let text = std::fs::read_to_string(&self.settings).unwrap_or_default();
-        let _ = std::fs::write(&self.settings, format!("{text}; changed\n"));
+        // An instance that starts meanwhile must not read a file that is cut short.
+        let changed = self.settings.with_extension("changed");
+        if std::fs::write(&changed, format!("{text}; changed\n")).is_ok() {
+            let _ = std::fs::rename(changed, &self.settings);
+        }
     }
 
     /// Returns the lines of the process's output that contain a text.
