start_window: the limit follows most answers of a round

The limit now changes once for each quarter of it that is answered, and falls only if most of these answers were late, as an overloaded owner is late for all its workers. The lowest limit is 32.

--- a/lib/src/start_window.rs
+++ b/lib/src/start_window.rs
@@ -19,13 +19,15 @@
 /// its limit within a few answers.
 const INITIAL_LIMIT: f64 = 128.0;
 /// Lowest limit. The smallest instances answer this many within [`SLOW_ANSWER`].
-const MIN_LIMIT: f64 = 8.0;
+const MIN_LIMIT: f64 = 32.0;
 /// Highest limit: the starts of a full pool in [`START_EXPIRY`].
 const MAX_LIMIT: f64 = 4096.0;
-/// Time from an order to its answer from which the owner counts as overloaded. The rest of the
-/// time until the order expires is the reserve that keeps orders from being late.
+/// Time from an order to its answer from which the answer counts as late. The rest of the time
+/// until the order expires is the reserve that keeps orders from being refused.
 const SLOW_ANSWER: Duration = START_EXPIRY.checked_div(2).expect("the divisor is not zero");
-/// Growth of the limit with each answer in time, below and above the last limit that was too high.
+/// Part of the limit that is answered before the limit changes.
+const ROUND_FRACTION: f64 = 0.25;
+/// Growth of the limit for each answer in time, below and above the last limit that was too high.
 const GROWTH: (f64, f64) = (1.0, 0.125);
 /// Factor by which the limit falls when the owner is overloaded.
 const DECREASE: f64 = 0.5;
@@ -41,6 +43,15 @@
     Other,
 }
 
+/// Answers since the limit last changed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Round {
+    in_time: usize,
+    late: usize,
+    /// Most unsettled runs at an answer.
+    peak: usize,
+}
+
 /// Runs that were placed and whose start order is not settled, and the limit on their number.
 #[derive(Debug)]
 pub struct Window {
@@ -48,6 +59,7 @@
     /// Limit up to which the growth is fast.
     fast_until: f64,
     shrunk_at: Option<Duration>,
+    round: Round,
     /// When the order of each run was passed on to be sent; `None` before.
     unsettled: HashMap<RunKey, Option<Duration>>,
 }
@@ -58,6 +70,7 @@
             limit: INITIAL_LIMIT,
             fast_until: MAX_LIMIT,
             shrunk_at: None,
+            round: Round::default(),
             unsettled: HashMap::new(),
         }
     }
@@ -88,18 +101,23 @@
 
     /// Handles the answer to the order to start a run. Returns whether the limit fell.
     pub fn settle(&mut self, now: Duration, key: &RunKey, answer: Answer) -> bool {
-        let was_needed = self.limit() <= 2 * self.unsettled.len();
+        self.round.peak = self.round.peak.max(self.unsettled.len());
         let Some(ordered_at) = self.unsettled.remove(key).flatten() else {
             return false;
         };
-        let is_in_time = now < ordered_at + SLOW_ANSWER;
+        // The order was sent under a higher limit, which is known to be too high.
+        if self.shrunk_at.is_some_and(|it| ordered_at <= it) {
+            return false;
+        }
         match answer {
-            Answer::Started if is_in_time && was_needed => self.grow(),
-            Answer::Started if is_in_time => {}
-            Answer::Started | Answer::Late => return self.shrink(now, ordered_at),
-            Answer::Other => {}
+            Answer::Started if now < ordered_at + SLOW_ANSWER => self.round.in_time += 1,
+            Answer::Started | Answer::Late => self.round.late += 1,
+            Answer::Other => return false,
         }
-        false
+        if ((self.round.in_time + self.round.late) as f64) < self.limit * ROUND_FRACTION {
+            return false;
+        }
+        self.end_round(now)
     }
 
     /// Removes a run that has ended or is not to be started any more.
@@ -107,19 +125,19 @@
         self.unsettled.remove(key);
     }
 
-    fn grow(&mut self) {
-        let growth = if self.limit < self.fast_until { GROWTH.0 } else { GROWTH.1 };
-        self.limit = (self.limit + growth).min(MAX_LIMIT);
-    }
-
-    /// Halves the limit, unless it has fallen since the order was sent.
-    fn shrink(&mut self, now: Duration, ordered_at: Duration) -> bool {
-        if self.shrunk_at.is_some_and(|it| ordered_at <= it) {
-            return false;
+    /// Changes the limit by the answers of a round. An overloaded owner is late for most of its
+    /// workers; a bad link delays the answers of a few.
+    fn end_round(&mut self, now: Duration) -> bool {
+        let round = std::mem::take(&mut self.round);
+        let is_overloaded = round.in_time < round.late;
+        if is_overloaded {
+            self.shrunk_at = Some(now);
+            self.limit = (self.limit * DECREASE).max(MIN_LIMIT);
+            self.fast_until = self.limit;
+        } else if self.limit() <= 2 * round.peak {
+            let growth = if self.limit < self.fast_until { GROWTH.0 } else { GROWTH.1 };
+            self.limit = (self.limit + growth * round.in_time as f64).min(MAX_LIMIT);
         }
-        self.shrunk_at = Some(now);
-        self.limit = (self.limit * DECREASE).max(MIN_LIMIT);
-        self.fast_until = self.limit;
-        true
+        is_overloaded
     }
 }
