owner: an end that cannot be judged yet is not acknowledged

The done end of a run whose task is placed on the same worker under a later run counts only if the later one does not take place, which a status with unreadable rows, or with a full page of ends, does not tell. The end was discarded and acknowledged, and the task could run again. Such an end, and those after it, now wait for a status that tells. The test failed before: the end was gone when the rows could be read again.

--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -53,6 +53,7 @@
             });
         }
         let lists_all_ends = status.ended.len() < ENDS_PAGE_SIZE;
+        let lists_all_runs = lists_all_ends && !status.has_unreadable_rows;
         let mut listed = HashSet::new();
         let mut done_before = Vec::new();
         for end in status.ended {
@@ -60,8 +61,14 @@
             if end.sequence <= worker.last_end_seen {
                 continue;
             }
+            let is_early = end.outcome == RunOutcome::Done && self.expects_later_run(id, &end.key);
+            if is_early && !lists_all_runs {
+                // Whether the later run takes place is not known yet, so the end must not be acknowledged.
+                break;
+            }
+            let worker = self.workers.get_mut(id).expect("looked up above");
             worker.last_end_seen = end.sequence;
-            if end.outcome == RunOutcome::Done && self.expects_later_run(id, &end.key) {
+            if is_early {
                 listed.insert(end.key.clone());
                 done_before.push(end);
                 continue;
--- a/lib/tests/test_incarnation.rs
+++ b/lib/tests/test_incarnation.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolewall::order::{ContactId, OrderOutcome, Refusal, RunOutcome};
+use oriolewall::order::{ContactId, OrderOutcome, Refusal, RunOutcome, WorkerStatus};
 use oriolewall::query::JobStatus;
 use oriolewall::worker::RunKey;
 use testutils::owner::{LEASE, OwnerFixture, RENEWAL_WINDOW, run_end, step, submit, worker};
@@ -303,6 +303,32 @@
     assert_eq!(fixture.owner.job_status(&Arc::from("job"), None), Some(JobStatus::Completed));
 }
 
+#[test]
+fn an_end_whose_later_run_may_be_in_an_unreadable_row_is_not_acknowledged() {
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(100);
+    let first = fixture.starts[0].clone();
+    fixture.answer_start(&first, OrderOutcome::Refused(Refusal::Late));
+    fixture.advance_ms(100);
+    let end = run_end(1, &first.key, RunOutcome::Done);
+    let status = WorkerStatus {
+        clock_ms: 5000,
+        started_ms: 1000,
+        ended: vec![end.clone()],
+        has_unreadable_rows: true,
+        ..WorkerStatus::default()
+    };
+    let contact = fixture.contact("w1");
+    fixture.owner.status_received(fixture.now, &Arc::from("w1"), contact, status);
+    fixture.advance_ms(500);
+    assert!(fixture.status_requests.iter().all(|it| it.1 == 0), "{:?}", fixture.status_requests);
+    fixture.report_status("w1", 6000, vec![], vec![end]);
+    fixture.advance_ms(100);
+    assert_eq!(fixture.starts.len(), 2, "{:?}", fixture.starts);
+    assert_eq!(fixture.owner.job_status(&Arc::from("job"), None), Some(JobStatus::Completed));
+}
+
 #[test]
 fn an_owner_that_was_paused_at_its_takeover_renews_no_lease_and_starts_no_run() {
     // It counted its ownership from when it went on, and kept a run alive that the next owner had
