owner: in epoch form a worker has one status request in flight

A lost start begins a contact, which in that form is the one before: a second status request was sent beside the first, and the answers, which could be of two incarnations, could not be told apart. And after a restart that was seen under a number, answers under the plain epoch counted as outdated for good. The request in flight now counts as under the contact if the contact is the same, and an answer under the present contact is never outdated. The first test failed before; the second one passes on the code before as well, so that path was only read.

--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -241,9 +241,9 @@
     /// calls of earlier ones may still be carried out, so the next status request does not wait
     /// for the answer to an earlier one.
     pub fn begin_contact(&mut self, contact: ContactId) {
+        self.status_requested &= contact == self.contact;
         self.contact = contact;
         self.is_observed = false;
-        self.status_requested = false;
     }
 
     /// Whether a status comes from another incarnation than the last one.
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -21,7 +21,7 @@
         };
         let is_current = contact == worker.contact;
         // The worker has answered under a later contact, so this answer may be of an earlier incarnation.
-        if !is_current && worker.is_observed || worker.is_outdated(contact, status.started_ms) {
+        if !is_current && (worker.is_observed || worker.is_outdated(contact, status.started_ms)) {
             return;
         }
         worker.status_requested &= !is_current;
--- a/lib/tests/test_token_form.rs
+++ b/lib/tests/test_token_form.rs
@@ -165,3 +165,32 @@
     }
     assert!(fencing_token(5, ContactId::Numbered(1)) < fencing_token(5, ContactId::Numbered(2)));
 }
+
+#[test]
+fn an_owner_in_epoch_form_has_one_status_request_in_flight() {
+    // The answers to two requests could not be told apart, and the earlier one ended a run.
+    let mut pool = Pool::new();
+    pool.restart_worker();
+    pool.replace_owner(TokenForm::Epoch);
+    pool.run_confirmed(400);
+    pool.fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    pool.fixture.advance_ms(100);
+    let (start, requests) = (pool.fixture.starts[0].clone(), pool.fixture.status_requests.len());
+    assert_eq!(requests, 1);
+    pool.fixture.answer_start(&start, OrderOutcome::Lost);
+    pool.fixture.advance_ms(100);
+    assert_eq!(pool.fixture.status_requests.len(), requests);
+}
+
+#[test]
+fn a_worker_that_restarts_twice_is_observed_in_epoch_form() {
+    // The first restart was seen under a number, and each later answer counted as outdated.
+    let mut pool = Pool::new();
+    pool.replace_owner(TokenForm::Epoch);
+    assert!(pool.serves("a"));
+    pool.restart_worker();
+    pool.run_confirmed(TAKEOVER_MS);
+    pool.restart_worker();
+    pool.fixture.fail_status("w1", OrderOutcome::Lost);
+    assert!(pool.serves("b"));
+}
