watch: a history that is gone is read again at a rate

Found by the review. A history whose records are gone each time it is read made the configuration be read in a loop without a delay. It is now read again with the delays of other failed reads. No test: it takes a log that removes records faster than they are read.

--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -54,7 +54,7 @@
                     store_configuration(&node, Configuration::Known(config.catalog()));
                 }
             }
-            Err(Error::Expired { .. }) => next = None,
+            Err(Error::Expired { .. }) if next.is_some() => next = None,
             Err(err) => {
                 report_log_error(&node, "configuration", &err);
                 tokio::time::sleep(backoff).await;
