coordinator: caps are granted by a member only

Found by reading (two reviewers). A coordinator whose process was paused answered reports with grants by what it knew from before, while another one had divided the caps anew; so did one whose owner had panicked and that waited to leave the group.

--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinSet;
 
 use crate::maintenance::MaintenanceWaves;
-use crate::node::Node;
+use crate::node::{Node, OwnedPartition};
 use crate::{clock, peer, watch};
 
 /// Partition whose owner is the fleet coordinator.
@@ -55,7 +55,9 @@
 /// Processes a partition owner's report on its use and its pools. Replies with what
 /// each team may have running there.
 pub(crate) fn handle_report(node: &Node, report: UsageReport) -> Reply {
-    let Some(owned) = node.owned_partition(COORDINATOR_PART) else {
+    // After a pause, or after a panic of the owner, another coordinator may have divided the caps.
+    let is_coordinator = |it: &OwnedPartition| node.is_member() && !it.events.is_closed();
+    let Some(owned) = node.owned_partition(COORDINATOR_PART).filter(is_coordinator) else {
         return Reply::NotOwner;
     };
     let now = clock::now().mono;
