group: four ways in which a partition had no owner or two

- One answer of the log confirmed an owner for good although another one, which had held the partition between two joins, could set its epoch later.
An owner of an earlier tenure now asks at each join.
- A leave that was lost, after an owner had ended, gave the partition back at the same generation: two owners with one epoch, whose orders workers cannot tell apart.
Each epoch is now used once in a process.
- An instance joined, was given partitions and could not take them over before it had read the configuration's history.
It now joins after that.
- A small instance judged for 1.2 s by owners that were read every 2 s.
It now asks for new readings meanwhile.

--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -17,7 +17,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use crate::node::{Node, OwnedPartition};
+use crate::node::{Configuration, Node, OwnedPartition};
 use crate::owner::{self, Event};
 use crate::settings::Settings;
 use crate::{clock, peer, watch};
@@ -59,6 +59,7 @@
     if is_small(&node.settings) {
         wait_for_owner_shortage(&node).await;
     }
+    wait_for_configuration(&node).await;
     let mut larger_owners = Watch::new(MIN_SHORTAGE_TIME);
     let mut generation = 0;
     let mut timeout = JOIN_TIMEOUT.0;
@@ -76,10 +77,12 @@
                 if !apply_assignment(&node, &assignment, sent.mono) {
                     // This member can own the partition again only at a new generation, so
                     // it leaves the group and joins anew.
-                    if let Err(err) = node.log.leave(GROUP, &node.member, CALL_TIMEOUT).await {
-                        watch::report_log_error(&node, "leave", &err);
-                    }
                     generation = 0;
+                    match node.log.leave(GROUP, &node.member, CALL_TIMEOUT).await {
+                        Ok(()) => continue,
+                        Err(err) => watch::report_log_error(&node, "leave", &err),
+                    }
+                    tokio::time::sleep(JOIN_INTERVAL).await;
                     continue;
                 }
                 node.confirm_member(sent.mono);
@@ -92,8 +95,10 @@
                     generation = 0;
                     continue;
                 }
-                if changed {
+                if changed || larger_owners.is_counting() {
                     node.refresh_owners.notify_one();
+                }
+                if changed {
                     // A join at the new generation confirms that this member has released
                     // the partitions that it no longer holds.
                     continue;
@@ -131,6 +136,15 @@
     format!("{}@{started_ms}{suffix}", settings.peer_addr)
 }
 
+/// Waits until the configuration is known, as no owner can take a partition over before.
+async fn wait_for_configuration(node: &Node) {
+    let mut changes = node.catalog_changes.subscribe();
+    while !matches!(**node.configuration.load(), Configuration::Known(_)) {
+        // The sender lives as long as the node.
+        let _ = changes.changed().await;
+    }
+}
+
 /// Waits until there are too few owners, so that this instance joins.
 async fn wait_for_owner_shortage(node: &Node) {
     let delay = JOIN_SPREAD.mul_f64(rand::random::<f64>()) + MIN_SHORTAGE_TIME;
@@ -176,7 +190,7 @@
         if node.is_backing_off(*part) {
             continue;
         }
-        if owned.get(part).is_some_and(|it| assignment.generation <= it.epoch) {
+        if !node.lock_epochs().begin(*part, assignment.generation) {
             node.decision_log.write(
                 "ownership",
                 json!({ "part": part, "generation": assignment.generation, "outcome": "owner ended" }),
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -16,7 +16,7 @@
 use oriolewall::reachability::Reachability;
 use oriolewall::refusal::Cause;
 use oriolewall::rpc::PartitionId;
-use oriolewall::tenure::Tenure;
+use oriolewall::tenure::{Epochs, Tenure};
 use oriolewall::worker::ListedWorker;
 use tokio::sync::{mpsc, watch};
 
@@ -104,6 +104,8 @@
     pub(crate) owner_census: ArcSwap<Census>,
     /// Requests a new read of `owners`.
     pub(crate) refresh_owners: tokio::sync::Notify,
+    /// Epochs of the owners that have run in this process.
+    epochs: Mutex<Epochs>,
     /// Partitions whose owner runs in this process.
     owned_partitions: Mutex<HashMap<PartitionId, OwnedPartition>>,
     /// Delays after panics of owners in this process, by partition.
@@ -146,6 +148,7 @@
             owners: ArcSwap::from_pointee(HashMap::new()),
             owner_census: ArcSwap::default(),
             refresh_owners: tokio::sync::Notify::new(),
+            epochs: Mutex::default(),
             owned_partitions: Mutex::new(HashMap::new()),
             owner_backoffs: Mutex::new(HashMap::new()),
             coordinator_state: Mutex::new(CoordinatorState::default()),
@@ -206,6 +209,11 @@
         self.owner_backoffs.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Locks the epochs of this process's owners.
+    pub(crate) fn lock_epochs(&self) -> MutexGuard<'_, Epochs> {
+        self.epochs.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
     /// Locks the state of the coordinator, whose entries are replaced as a whole.
     pub(crate) fn lock_coordinator_state(&self) -> MutexGuard<'_, CoordinatorState> {
         self.coordinator_state.lock().unwrap_or_else(|it| it.into_inner())
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -108,6 +108,8 @@
     epoch: u64,
     /// Whether the group's answers confirm the ownership.
     claim: Claim,
+    /// Start of the last tenure in which the log confirmed the ownership.
+    confirmed_tenure: Generation,
     /// Sender to this owner's own event loop, for the results of calls.
     events: mpsc::UnboundedSender<Event>,
     scheduler: Scheduler,
@@ -163,6 +165,7 @@
         part,
         epoch,
         claim: Claim::new(epoch),
+        confirmed_tenure: epoch,
         events: events.clone(),
         scheduler,
         workers: HashMap::new(),
@@ -298,8 +301,10 @@
         match self.claim.listed(since) {
             Verdict::Confirmed => self.scheduler.confirm_ownership(sent),
             Verdict::Pending => {}
-            Verdict::AskLog => {
-                self.log_ownership(since, "unconfirmed");
+            verdict @ (Verdict::AskLog | Verdict::AskAgain) => {
+                if verdict == Verdict::AskLog {
+                    self.log_ownership(since, "unconfirmed");
+                }
                 let (node, events, part, epoch) = (self.node.clone(), self.events.clone(), self.part, self.epoch);
                 self.background_tasks.spawn(async move {
                     let result = set_epoch(&node, part, epoch).await;
@@ -312,17 +317,16 @@
 
     /// Handles the log's answer on whether a later owner has set its epoch.
     fn ownership_checked(&mut self, since: Generation, result: Result<Duration, Error>) {
+        self.claim.answered();
         match result {
             Ok(sent) => {
-                self.claim.prove(since);
                 self.scheduler.confirm_ownership(sent);
-                self.log_ownership(since, "confirmed by the log");
+                if std::mem::replace(&mut self.confirmed_tenure, since) != since {
+                    self.log_ownership(since, "confirmed by the log");
+                }
             }
             Err(Error::Fenced) => self.scheduler.fence(),
-            Err(err) => {
-                self.claim.question_lost();
-                watch::report_log_error(&self.node, "epoch", &err);
-            }
+            Err(err) => watch::report_log_error(&self.node, "epoch", &err),
         }
     }
 
--- a/lib/src/tenure.rs
+++ b/lib/src/tenure.rs
@@ -5,6 +5,10 @@
 //! answers at the same generation or at successive ones leave no time for another owner. After
 //! other answers only the log can tell: a later owner sets its epoch there before it acts.
 
+use std::collections::HashMap;
+
+use crate::rpc::PartitionId;
+
 /// State of the group of owners, numbered in ascending order.
 pub type Generation = u64;
 
@@ -15,13 +19,15 @@
     until: Generation,
 }
 
-/// Tenures of an owner in which no other one has acted before it.
+/// Judges the answers of the group for an owner.
 #[derive(Debug)]
 pub struct Claim {
-    /// Start of the last tenure that is proven.
-    proven: Generation,
-    /// Whether the log was asked about a later one and has not answered.
-    is_asked: bool,
+    /// Generation at which the owner acquired the partition.
+    epoch: Generation,
+    /// Start of the last tenure about which the log was asked.
+    asked_for: Generation,
+    /// Whether the log was asked and has not answered.
+    is_pending: bool,
 }
 
 /// What an answer of the group that lists a partition means for its owner.
@@ -29,12 +35,33 @@
 pub enum Verdict {
     /// It confirms the ownership.
     Confirmed,
-    /// It does not, and the log has to be asked.
+    /// It does not, and the log has to be asked for the first time in this tenure.
     AskLog,
+    /// The log has to be asked again: an owner in between may have set its epoch since.
+    AskAgain,
     /// It does not, and the log has been asked.
     Pending,
 }
 
+/// Epochs under which a member has owned partitions. Each is used once, as the orders of two
+/// owners under one epoch could not be told apart.
+#[derive(Debug, Default)]
+pub struct Epochs {
+    last: HashMap<PartitionId, Generation>,
+}
+
+impl Epochs {
+    /// Begins an ownership at a generation. Returns false if the member has owned the partition at
+    /// this generation or a later one.
+    pub fn begin(&mut self, part: PartitionId, generation: Generation) -> bool {
+        if self.last.get(&part).is_some_and(|it| generation <= *it) {
+            return false;
+        }
+        self.last.insert(part, generation);
+        true
+    }
+}
+
 impl Tenure {
     /// Begins with the answer that assigned the partition to the member.
     pub fn new(generation: Generation) -> Tenure {
@@ -64,31 +91,29 @@
     /// the partition.
     pub fn new(epoch: Generation) -> Claim {
         Claim {
-            proven: epoch,
-            is_asked: false,
+            epoch,
+            asked_for: epoch,
+            is_pending: false,
         }
     }
 
-    /// Judges an answer of the group that lists the partition in the tenure since `since`.
+    /// Judges an answer of the group that lists the partition in the tenure since `since`. An owner
+    /// of an earlier tenure has to ask the log each time.
     pub fn listed(&mut self, since: Generation) -> Verdict {
-        if since <= self.proven {
+        if since <= self.epoch {
             return Verdict::Confirmed;
         }
-        match std::mem::replace(&mut self.is_asked, true) {
-            true => Verdict::Pending,
+        if std::mem::replace(&mut self.is_pending, true) {
+            return Verdict::Pending;
+        }
+        match std::mem::replace(&mut self.asked_for, since) == since {
+            true => Verdict::AskAgain,
             false => Verdict::AskLog,
         }
     }
 
-    /// Records the log's answer to a question that was sent in the tenure since `since`: no
-    /// later owner has set its epoch.
-    pub fn prove(&mut self, since: Generation) {
-        self.is_asked = false;
-        self.proven = self.proven.max(since);
-    }
-
-    /// Records that a question got no answer, so that it is asked again.
-    pub fn question_lost(&mut self) {
-        self.is_asked = false;
+    /// Records that the log has answered, or that the call has failed.
+    pub fn answered(&mut self) {
+        self.is_pending = false;
     }
 }
