owner, scheduler, worker_events: moves into files of their own

Code is moved as it was: run_end (what the end of a run means), contact (under which contact a worker is called, and whether it answers), request (what callers ask), actions (carries the scheduler's actions out). owner_shortage::Watch is now Condition, as there is a module watch, and the doc of ContactId says when numbers end.

--- a/fleet/src/group.rs
+++ b/fleet/src/group.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use oriole_platform::log::{Error, GroupAssignment, PartitionHolder};
-use oriolewall::owner_shortage::{Census, Watch};
+use oriolewall::owner_shortage::{Census, Condition};
 use oriolewall::rpc::{Call, PartitionId, Reply};
 use oriolewall::tenure::Tenure;
 use serde_json::json;
@@ -60,7 +60,7 @@
         wait_for_owner_shortage(&node).await;
     }
     wait_for_configuration(&node).await;
-    let mut larger_owners = Watch::new(MIN_SHORTAGE_TIME);
+    let mut larger_owners = Condition::new(MIN_SHORTAGE_TIME);
     let mut generation = 0;
     let mut timeout = JOIN_TIMEOUT.0;
     let mut attempts = 0;
@@ -148,7 +148,7 @@
 /// Waits until there are too few owners, so that this instance joins.
 async fn wait_for_owner_shortage(node: &Node) {
     let delay = JOIN_SPREAD.mul_f64(rand::random::<f64>()) + MIN_SHORTAGE_TIME;
-    let mut shortage = Watch::new(delay);
+    let mut shortage = Condition::new(delay);
     loop {
         let owners = **node.owner_census.load();
         if !node.is_log_reachable() {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! - `watch`: follows operators' configuration, the list of workers and the settings file.
 //! - `group`: group membership, which decides the partitions that this instance owns.
 //! - `owner`: runs the scheduler of an owned partition.
+//! - `actions`: carries out the actions of the scheduler.
 //! - `takeover`: restores the scheduler of a partition from the log.
 //! - [`log`]: calls to the log, sent again when an answer is overdue.
 //! - `request_log`: appends callers' requests to the log, many in one append.
@@ -23,6 +24,7 @@
 //! - `server`: HTTP listeners.
 //! - [`supervisor`]: restarts tasks that must not end.
 
+mod actions;
 mod caller_api;
 mod clock;
 mod coordinator;
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -8,30 +8,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use oriole_platform::advice::Advice;
-use oriole_platform::log::{AppendPosition, Entry, Error, JOBS, Partition, REQUESTS, ReadResult};
+use oriole_platform::log::{Error, ReadResult};
 use oriole_platform::worker::WorkerClient;
 use oriolewall::advice::StepKey;
-use oriolewall::decision::Decision;
 use oriolewall::id::{InstanceId, PoolId, TeamId};
-use oriolewall::job_record::{self, CancelKey, JobKey, QueueId, Request};
-use oriolewall::order::{Action, ContactId, OrderOutcome, WorkerStatus, fencing_token};
+use oriolewall::job_record::{JobKey, QueueId};
+use oriolewall::order::{ContactId, OrderOutcome, WorkerStatus};
 use oriolewall::query::JobStatus;
 use oriolewall::quota;
 use oriolewall::resources::Resources;
-use oriolewall::rpc::{Call, PartitionId, Reply, RequestRecord, UsageReport};
+use oriolewall::rpc::{Call, PartitionId, Reply, UsageReport};
 use oriolewall::scheduler::Scheduler;
 use oriolewall::tenure::{Claim, Generation, Verdict};
 use oriolewall::worker::{ListedWorker, RunKey};
-use serde::Serialize;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 
 use crate::node::Node;
 use crate::takeover::{apply_requests, follow_requests, set_epoch, still_owned, take_over};
-use crate::{clock, coordinator, peer, request_log, watch};
+use crate::{clock, coordinator, peer, watch};
 
 /// Time limit of a call to the log.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -46,7 +43,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Time limit of a call for advice. The service handles one call at a time, and
 /// takes longer the more workers it is asked about.
-const ADVICE_TIMEOUT: Duration = Duration::from_millis(3500);
+pub(crate) const ADVICE_TIMEOUT: Duration = Duration::from_millis(3500);
 /// Time for which new work is kept away from a worker after a request to vacate it.
 /// The coordinator sends its orders within 1.2 s of the request, and these may take
 /// 1.5 s; the rest is reserve for orders that take effect late.
@@ -102,40 +99,31 @@
 }
 
 /// State of the event loop of one owned partition.
-struct Owner {
-    node: Arc<Node>,
-    part: PartitionId,
-    epoch: u64,
+pub(crate) struct Owner {
+    pub(crate) node: Arc<Node>,
+    pub(crate) part: PartitionId,
+    pub(crate) epoch: u64,
     /// Whether the group's answers confirm the ownership.
-    claim: Claim,
+    pub(crate) claim: Claim,
     /// Start of the last tenure in which the log confirmed the ownership.
-    confirmed_tenure: Generation,
+    pub(crate) confirmed_tenure: Generation,
     /// Sender to this owner's own event loop, for the results of calls.
-    events: mpsc::UnboundedSender<Event>,
-    scheduler: Scheduler,
-    workers: HashMap<InstanceId, Arc<WorkerClient>>,
+    pub(crate) events: mpsc::UnboundedSender<Event>,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) workers: HashMap<InstanceId, Arc<WorkerClient>>,
     /// Sequence number of the next commit within the epoch.
-    next_sequence: u64,
-    first_commit_sent: bool,
+    pub(crate) next_sequence: u64,
+    pub(crate) first_commit_sent: bool,
     /// Monotonic time at which requests were last read from the log.
-    requests_read_at: Duration,
+    pub(crate) requests_read_at: Duration,
     /// What each team may have running in this partition; empty once the grants have expired.
-    grants: HashMap<TeamId, Resources>,
+    pub(crate) grants: HashMap<TeamId, Resources>,
     /// Monotonic time at which the report was sent that `grants` answers.
-    grants_as_of: Duration,
-    last_report_at: Duration,
+    pub(crate) grants_as_of: Duration,
+    pub(crate) last_report_at: Duration,
     /// Open calls and the readers of requests and changes. All are aborted when the
     /// owner ends.
-    background_tasks: JoinSet<()>,
-}
-
-/// A decision with the ownership under which it was made.
-#[derive(Serialize)]
-struct DecisionLine<'a> {
-    part: PartitionId,
-    epoch: u64,
-    #[serde(flatten)]
-    decision: &'a Decision,
+    pub(crate) background_tasks: JoinSet<()>,
 }
 
 /// Takes a partition over and runs its scheduler until the partition is lost, a later
@@ -405,211 +393,6 @@
             }
         });
     }
-
-    /// Executes an action of the scheduler, in a separate task if it needs a call.
-    fn execute(&mut self, action: Action) {
-        match action {
-            Action::Commit(records) => self.commit(records),
-            Action::RemoveRequests { submissions, cancels } => self.remove_requests(&submissions, &cancels),
-            Action::HandOn { id, pool, requests } => self.hand_on(id, &pool, &requests),
-            Action::Start(start) => {
-                let (events, fencing_token) = (self.events.clone(), fencing_token(self.epoch, start.contact));
-                let (id, key, contact) = (start.worker.clone(), start.key.clone(), start.contact);
-                let node = self.node.clone();
-                let worker = self.workers.get(&id).cloned();
-                self.background_tasks.spawn(async move {
-                    let Some(worker) = worker else { return };
-                    let answer = worker.start(&start, fencing_token).await;
-                    count_order(&node, "start", answer);
-                    let _ = events.send(Event::StartAnswered(id, key, contact, answer));
-                });
-            }
-            Action::Stop { worker: id, contact, key } => {
-                let (events, fencing_token) = (self.events.clone(), fencing_token(self.epoch, contact));
-                let node = self.node.clone();
-                let worker = self.workers.get(&id).cloned();
-                self.background_tasks.spawn(async move {
-                    let Some(worker) = worker else { return };
-                    let answer = worker.stop(&key, fencing_token).await;
-                    count_order(&node, "stop", answer);
-                    let _ = events.send(Event::OrderAnswered(id, contact, answer));
-                });
-            }
-            Action::FetchStatus {
-                worker: id,
-                contact,
-                ack_cursor,
-                lease_until_ms,
-                wait,
-            } => {
-                let (events, fencing_token) = (self.events.clone(), fencing_token(self.epoch, contact));
-                let worker = self.workers.get(&id).cloned();
-                self.background_tasks.spawn(async move {
-                    let Some(worker) = worker else { return };
-                    let status = worker.fetch_status(fencing_token, ack_cursor, lease_until_ms, wait).await;
-                    let _ = events.send(Event::StatusReceived(id, contact, status));
-                });
-            }
-            Action::SetSpeed {
-                worker: id,
-                contact,
-                key,
-                percent,
-            } => {
-                let (events, fencing_token) = (self.events.clone(), fencing_token(self.epoch, contact));
-                let node = self.node.clone();
-                let worker = self.workers.get(&id).cloned();
-                self.background_tasks.spawn(async move {
-                    let Some(worker) = worker else { return };
-                    let answer = worker.set_speed(&key, percent, fencing_token).await;
-                    count_order(&node, "pace", answer);
-                    let _ = events.send(Event::OrderAnswered(id, contact, answer));
-                });
-            }
-            Action::RequestAdvice { step, workers } => {
-                let (events, node) = (self.events.clone(), self.node.clone());
-                self.background_tasks.spawn(async move {
-                    let (job, occurrence, step_index) = &step;
-                    let advice = match &node.advice_client {
-                        Some(client) => client.advise(job, *occurrence, *step_index, &workers, ADVICE_TIMEOUT).await.ok(),
-                        None => None,
-                    };
-                    let approved = advice.as_ref().map(|it| it.approved.len());
-                    node.decision_log.write(
-                        "advice",
-                        json!({ "job": job, "step": step_index, "asked": workers.len(), "approved": approved }),
-                    );
-                    let _ = events.send(Event::AdviceReceived(step, advice));
-                });
-            }
-            Action::LogDecision(decision) => self.log_decision(&decision),
-        }
-    }
-
-    /// Writes a decision of the scheduler to the decision log, and counts ended runs.
-    fn log_decision(&self, decision: &Decision) {
-        let event = match decision {
-            Decision::Admitted { .. } => "admitted",
-            Decision::Placed { .. } => "placed",
-            Decision::Ordered { .. } => "ordered",
-            Decision::Unexpected { .. } => {
-                self.node.metrics.unexpected_runs.inc();
-                "unexpected_run"
-            }
-            Decision::Restarted { .. } => {
-                self.node.metrics.worker_restarts.inc();
-                "worker_restarted"
-            }
-            Decision::Ended { how, .. } => {
-                self.node.metrics.run_ends.with_label_values(&[how]).inc();
-                "ended"
-            }
-            Decision::Closed { .. } => "closed",
-            Decision::Refused { .. } => "order_refused",
-            Decision::Contact { .. } => "contact",
-            Decision::Numbered { .. } => "numbered",
-            Decision::Suspect { .. } => "suspect",
-            Decision::Silent { .. } => "silent",
-            Decision::Overloaded { .. } => {
-                self.node.metrics.overloads.inc();
-                "overloaded"
-            }
-            Decision::Interrupted { .. } => "interrupted",
-        };
-        let line = DecisionLine {
-            part: self.part,
-            epoch: self.epoch,
-            decision,
-        };
-        self.node.decision_log.write(event, line);
-    }
-
-    /// Appends the scheduler's records to the log, retrying until the log accepts or
-    /// rejects them.
-    fn commit(&mut self, records: Vec<(Arc<str>, Option<Bytes>)>) {
-        let (node, events) = (self.node.clone(), self.events.clone());
-        let partition = Partition {
-            topic: JOBS,
-            number: self.part,
-        };
-        let entry = |(key, value): (Arc<str>, Option<Bytes>)| Entry {
-            key: key.to_string(),
-            value,
-        };
-        let entries: Vec<Entry> = records.into_iter().map(entry).collect();
-        let mut position = AppendPosition {
-            epoch: self.epoch,
-            sequence: self.next_sequence,
-        };
-        // The log decides whether the append that set the epoch used up a sequence number,
-        // so the first commit adopts the number that the log expects.
-        let is_first_commit = !self.first_commit_sent;
-        self.first_commit_sent = true;
-        self.background_tasks.spawn(async move {
-            let started = clock::now().mono;
-            let result = loop {
-                match node.log.append(partition, Some(position), &entries, CALL_TIMEOUT).await {
-                    Ok(()) => break Ok(position.sequence),
-                    Err(Error::OutOfSequence { expected }) if is_first_commit => position.sequence = expected,
-                    Err(err @ (Error::Fenced | Error::OutOfSequence { .. })) => break Err(err),
-                    Err(err) => watch::report_log_error(&node, "commit", &err),
-                }
-                tokio::time::sleep(RETRY_DELAY).await;
-            };
-            let elapsed = clock::now().mono.saturating_sub(started);
-            node.metrics.commit_seconds.observe(elapsed.as_secs_f64());
-            let _ = events.send(Event::Committed(result));
-        });
-    }
-
-    /// Appends requests for a job to the partition of another pool, retrying until the log
-    /// accepts them, then removes them from this partition. If the ownership ends before, the
-    /// next owner finds them here.
-    fn hand_on(&mut self, id: JobKey, pool: &PoolId, requests: &[Request]) {
-        let (node, events, part) = (self.node.clone(), self.events.clone(), self.part);
-        let records: Vec<RequestRecord> = requests.iter().map(|it| request_log::encode(&id, it)).collect();
-        let target = node.partition_of(pool);
-        node.decision_log
-            .write("handed_on", json!({ "part": part, "job": id, "pool": pool, "to": target }));
-        self.background_tasks.spawn(async move {
-            let entry = |(key, value): RequestRecord| Entry { key, value: Some(value) };
-            let entries: Vec<Entry> = records.into_iter().map(entry).collect();
-            let partition = |number| Partition { topic: REQUESTS, number };
-            while let Err(err) = node.log.append(partition(target), None, &entries, CALL_TIMEOUT).await {
-                watch::report_log_error(&node, "hand_on", &err);
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-            // The event loop may have ended since.
-            let _ = events.send(Event::HandedOn(id));
-            // In the same partition the records have replaced the ones that were read.
-            if target == part {
-                return;
-            }
-            let entries: Vec<Entry> = entries.into_iter().map(|it| Entry { value: None, ..it }).collect();
-            // If this fails, the next owner hands them on once more, which changes nothing.
-            if let Err(err) = node.log.append(partition(part), None, &entries, CALL_TIMEOUT).await {
-                watch::report_log_error(&node, "forget", &err);
-            }
-        });
-    }
-
-    /// Removes submissions and cancellations from the log that job records contain.
-    fn remove_requests(&mut self, submissions: &[JobKey], cancels: &[CancelKey]) {
-        let node = self.node.clone();
-        let partition = Partition {
-            topic: REQUESTS,
-            number: self.part,
-        };
-        let keys = submissions.iter().map(ToString::to_string);
-        let keys = keys.chain(cancels.iter().map(|(id, team)| job_record::cancel_record_key(id, team.as_ref())));
-        let entries: Vec<Entry> = keys.map(|key| Entry { key, value: None }).collect();
-        self.background_tasks.spawn(async move {
-            // If this fails, the next owner finds the requests and removes them.
-            if let Err(err) = node.log.append(partition, None, &entries, CALL_TIMEOUT).await {
-                watch::report_log_error(&node, "forget", &err);
-            }
-        });
-    }
 }
 
 /// Sends the reply to a query.
@@ -617,13 +400,3 @@
     // The receiver may be gone, for example after a timeout.
     let _ = reply.send(value);
 }
-
-/// Counts an order to a worker by its outcome.
-fn count_order(node: &Node, order: &str, answer: OrderOutcome) {
-    let outcome = match answer {
-        OrderOutcome::Done { .. } => "done",
-        OrderOutcome::Refused(_) => "refused",
-        OrderOutcome::Lost => "lost",
-    };
-    node.metrics.orders.with_label_values(&[order, outcome]).inc();
-}
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -16,7 +16,9 @@
 ///
 /// A worker gets a new contact when the owner no longer knows what becomes of the calls that it
 /// has sent: after silence, and after a restart, in which the worker forgets the tokens that it
-/// has seen. A worker that was called under a contact carries out no call of a lower one.
+/// has seen. A worker that was called under a contact carries out no call of a lower one. With
+/// [`TokenForm::Epoch`] a worker that was called under a number is called without one again after
+/// a call without an answer, as it may have restarted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ContactId {
     /// Calls carry the epoch alone, as those of earlier builds. An answer does not tell whether
--- a/lib/src/owner_shortage.rs
+++ b/lib/src/owner_shortage.rs
@@ -20,18 +20,18 @@
     pub small: usize,
 }
 
-/// Watches the owners until a condition has held for some time. A single reading proves nothing:
+/// A condition on the owners that has to hold for some time. A single reading proves nothing:
 /// members that have ended stay listed for a while, and the group changes in several steps.
 #[derive(Debug)]
-pub struct Watch {
+pub struct Condition {
     hold_time: Duration,
     since: Option<Duration>,
 }
 
-impl Watch {
-    /// Creates a watch for conditions that have to hold for `hold_time`.
-    pub fn new(hold_time: Duration) -> Watch {
-        Watch { hold_time, since: None }
+impl Condition {
+    /// Creates a condition that has to hold for `hold_time`.
+    pub fn new(hold_time: Duration) -> Condition {
+        Condition { hold_time, since: None }
     }
 
     /// Whether there have been too few owners for the time, so that a small instance steps in.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -19,9 +19,9 @@
 use crate::decision::Decision;
 use crate::forecast::Forecast;
 use crate::id::{InstanceId, PoolId, TeamId};
-use crate::job_record::{CancelKey, JobKey, JobPhase, JobRecord, Request, TaskKey, TaskState};
+use crate::job_record::{CancelKey, JobKey, JobPhase, JobRecord, TaskKey, TaskState};
 use crate::moved_queue::{Cancel, HandedOn};
-use crate::order::{Action, ContactId, MAX_CONTACT, TokenForm};
+use crate::order::{Action, TokenForm};
 use crate::resources::Resources;
 use crate::start_window::Window;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
@@ -176,7 +176,7 @@
     /// Form of the tokens with which workers are called first.
     pub(crate) token_form: TokenForm,
     /// Number of the contact that was numbered last with any worker.
-    last_contact: u32,
+    pub(crate) last_contact: u32,
     /// No tasks are placed before this time.
     pub(crate) placement_resumes_at: Duration,
     /// Actions that the next call to `poll` returns.
@@ -230,90 +230,6 @@
         self
     }
 
-    /// Applies a request that was in the log when this owner took over. Unlike a new one it
-    /// does not count for the rate of arrivals.
-    pub fn load_request(&mut self, now: Now, id: JobKey, request: Request) {
-        self.apply_request(now, id, request, false);
-    }
-
-    /// Applies a request read from the log. Repeated submissions change nothing.
-    pub fn add_request(&mut self, now: Now, id: JobKey, request: Request) {
-        self.apply_request(now, id, request, true);
-    }
-
-    fn apply_request(&mut self, now: Now, id: JobKey, request: Request, is_new: bool) {
-        if self.is_quarantined(&id) {
-            return;
-        }
-        match request {
-            Request::Submit(submission) => {
-                if let Some(tracked) = self.jobs.get(&id) {
-                    // Until a record of the job is in the log, the request is the only trace of it there.
-                    if tracked.is_logged {
-                        self.processed_submissions.push(id);
-                    }
-                    return;
-                }
-                if let Some(pool) = self.successor_of(&submission) {
-                    self.hand_on(id, submission, pool);
-                    return;
-                }
-                self.handed_on.remove(&id);
-                self.log_decision(Decision::Admitted {
-                    job: id.clone(),
-                    queue: submission.queue.clone(),
-                    team: submission.team.clone(),
-                    tasks: submission.spec.tasks_per_occurrence(),
-                });
-                if is_new {
-                    let arrivals = self.arrivals.entry(submission.pool.clone()).or_default();
-                    arrivals.record(now.mono, submission.spec.estimated_work());
-                }
-                let tracked = TrackedJob {
-                    record: JobRecord::new(submission),
-                    logged_phase: JobPhase::Open,
-                    is_logged: false,
-                    may_have_started: false,
-                    cancel_pending: false,
-                };
-                self.jobs.insert(id.clone(), tracked);
-                self.open_jobs.insert(id.clone());
-                for (team, cancel) in self.read_cancels.remove(&id).unwrap_or_default() {
-                    self.cancel_job(now, &id, team, cancel);
-                }
-            }
-            Request::Cancel { at_ms, team, addressee } => {
-                let cancel = Cancel { at_ms, addressee };
-                if self.jobs.contains_key(&id) {
-                    self.cancel_job(now, &id, team, cancel);
-                } else if let Err(cancel) = self.hand_on_cancel(&id, team.as_ref(), cancel) {
-                    // The cancel may be read before the submission.
-                    self.read_cancels.entry(id).or_default().insert(team, cancel);
-                }
-            }
-        }
-    }
-
-    /// Cancels a job whose cancel request was read, unless it belongs to another team. The
-    /// request is removed from the log once the end of the job is recorded.
-    fn cancel_job(&mut self, now: Now, id: &JobKey, team: Option<TeamId>, cancel: Cancel) {
-        if !self.jobs.get(id).is_some_and(|it| it.is_visible_to(team.as_ref())) {
-            self.processed_cancels.push((id.clone(), team));
-            return;
-        }
-        self.end_job(now, id, JobPhase::Cancelled);
-        let Some(tracked) = self.jobs.get_mut(id) else {
-            return;
-        };
-        match tracked.logged_phase {
-            JobPhase::Open => {
-                tracked.cancel_pending = true;
-                self.read_cancels.entry(id.clone()).or_default().insert(team, cancel);
-            }
-            _ => self.processed_cancels.push((id.clone(), team)),
-        }
-    }
-
     /// Replaces the operators' configuration.
     pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
         self.catalog = catalog;
@@ -331,64 +247,12 @@
         self.number_refused_contacts(at);
     }
 
-    /// Begins a numbered contact with workers that refused the epoch before `at`. There was no
-    /// later owner then, so the higher token is a numbered one of an earlier owner.
-    fn number_refused_contacts(&mut self, at: Duration) {
-        let refused = self.workers.values().filter(|it| it.refused_at.is_some_and(|it| it < at));
-        let refused: Vec<InstanceId> = refused.map(|it| it.listed.id.clone()).collect();
-        for id in refused {
-            let contact = self.next_numbered_contact();
-            let worker = self.workers.get_mut(&id).expect("the id comes from the map");
-            worker.refused_at = None;
-            worker.begin_contact(contact);
-            worker.next_status_request = at;
-            self.log_decision(Decision::Numbered { worker: id });
-        }
-    }
-
     /// Time for which this owner may still start runs and renew leases without a new
     /// confirmation.
     pub(crate) fn ownership_left(&self, now: Now) -> Duration {
         (self.confirmed_at + self.limits.renewal_window).saturating_sub(now.mono)
     }
 
-    /// Returns the contact under which a worker is called next.
-    pub(crate) fn next_contact(&mut self) -> ContactId {
-        match self.token_form {
-            TokenForm::Epoch => ContactId::Unnumbered,
-            TokenForm::Contact => self.next_numbered_contact(),
-        }
-    }
-
-    /// Returns a contact that has not been used yet. An owner that has none left ends.
-    fn next_numbered_contact(&mut self) -> ContactId {
-        self.fenced |= self.last_contact == MAX_CONTACT;
-        self.last_contact = (self.last_contact + 1).min(MAX_CONTACT);
-        ContactId::Numbered(self.last_contact)
-    }
-
-    /// Calls a worker under a new contact, starting with a status request.
-    pub(crate) fn begin_contact(&mut self, now: Now, id: &InstanceId) {
-        let contact = self.next_contact();
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.begin_contact(contact);
-            worker.next_status_request = now.mono;
-        }
-    }
-
-    /// Handles the refusal of a call under a contact because of a higher fencing token, unless
-    /// that is the token of a later contact of this owner. A numbered one is exceeded only by a
-    /// later owner, so this one ends. The worker is asked again otherwise.
-    pub(crate) fn call_fenced(&mut self, id: &InstanceId, contact: ContactId) {
-        let Some(worker) = self.workers.get_mut(id).filter(|it| it.contact == contact) else {
-            return;
-        };
-        match contact {
-            ContactId::Numbered(_) => self.fenced = true,
-            ContactId::Unnumbered => worker.is_observed = false,
-        }
-    }
-
     /// Whether a later owner has replaced this one.
     pub fn is_fenced(&self) -> bool {
         self.fenced
