--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -247,7 +247,7 @@
 #[test]
 #[ignore = "issue 22, see KNOWN-RED.txt"]
 fn promises_hold_when_a_late_call_reaches_the_next_life_of_a_worker() {
-    check_seeds(&[1, 24, 126, 214, 5002, 5019, 6020, 6022, 6038], Faults::LateCallsOutlive);
+    check_seeds(&[1, 24, 126, 214, 5002, 5019, 6020, 6022, 6038, 9206], Faults::LateCallsOutlive);
 }
 
 #[test]
