--- a/fleet/tests/test_soak/process.rs
+++ b/fleet/tests/test_soak/process.rs
@@ -1,7 +1,7 @@
 //! Instances of the program as processes, which are stopped when their owner is dropped.
 
 use std::fs::File;
-use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -35,7 +35,9 @@
     loop {
         let offset = (start + NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % (PORTS.end - PORTS.start);
         let port = PORTS.start + offset;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        // A listener of this process would be inherited by an instance that is started meanwhile,
+        // and the port would not be free until that one has executed the program.
+        if TcpStream::connect(("127.0.0.1", port)).is_err() {
             return port;
         }
     }
