--- /dev/null
+++ b/review/standin/further.rs
@@ -0,0 +1,290 @@
+//! Further observations of the review that are no cases. Each returns whether its rule was broken,
+//! `None` if it could not run.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::cases::{CONTACT, runs_of, say_repeated_runs, silence, sleep_ms};
+use crate::json;
+use crate::site::{Route, SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Site, job};
+
+/// `visible_ms` and `configApplyMs`.
+const VISIBLE: Duration = Duration::from_millis(3000);
+const CONFIG_APPLY: Duration = Duration::from_millis(2000);
+
+/// Returns an observation by its name.
+pub fn find(name: &str) -> Option<fn(&Site, bool) -> Option<bool>> {
+    Some(match name {
+        "moves-forgotten" => moves_forgotten,
+        "queue-moves-back" => queue_moves_back,
+        "late-start" => late_start,
+        "unread-submission" => unread_submission,
+        "unread-configuration" => unread_configuration,
+        "failing-removed" => failing_removed,
+        "pending-moved" => pending_moved,
+        "gang-failed" => gang_failed,
+        "gang-done" => gang_done,
+        "gang-spread" => gang_spread,
+        _ => return None,
+    })
+}
+
+/// TWICE: a queue moves to another service, the store forgets its history, an instance is stopped
+/// and started, and a call that was accepted before arrives there again.
+fn moves_forgotten(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    site.run_probe("paint", "00000000000000bb")?;
+    let id = "00000000000000c1";
+    let path = format!("/weld/{id}");
+    let body = job(8000, 2, 1000, "");
+    let (status, _) = site.call(0, "POST", &path, "key-1", &body);
+    site.record.say(format!("client: POST {path} to entry-0: {status}"));
+    sleep_ms(300);
+    site.configure(2, &[Route::new("weld", "paintcell"), Route::new("paint", "paintcell")], &["key-1"]);
+    sleep_ms(500);
+    if trouble {
+        site.store.forget_history("keyed.op");
+    }
+    site.signal(1, SIGTERM);
+    let deadline = Instant::now() + Duration::from_secs(6);
+    while Instant::now() < deadline && !site.has_ended(1) {
+        sleep_ms(50);
+    }
+    site.signal(1, SIGKILL);
+    site.start_instance(1).ok()?;
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < deadline && !site.is_ready(1) {
+        sleep_ms(50);
+    }
+    let (status, _) = site.call(1, "POST", &path, "key-1", &body);
+    site.record
+        .say(format!("client: POST {path} to entry-1, the same call again: {status}"));
+    sleep_ms(10_000);
+    Some(say_repeated_runs(site, id))
+}
+
+/// TWICE: an instance is frozen while a job is handed in to it; meanwhile the queue moves to
+/// another service, where the repeated call is accepted, and back.
+fn queue_moves_back(site: &Site, trouble: bool) -> Option<bool> {
+    let weld = site.run_probe("weld", "00000000000000aa")?;
+    let paint = site.run_probe("paint", "00000000000000bb")?;
+    let owners = [site.owner_of(weld)?, site.owner_of(paint)?];
+    let frozen = (0..site.instances.len()).find(|it| !owners.contains(it))?;
+    let other = (0..site.instances.len()).find(|it| *it != frozen)?;
+    let id = "00000000000000c1";
+    let path = format!("/weld/{id}");
+    let body = job(6000, 2, 1000, "");
+    let begin = Instant::now();
+    let until = |ms: u64| thread::sleep((begin + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+    if trouble {
+        site.signal(frozen, SIGSTOP);
+    }
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            until(50);
+            let (status, _) = site.call(frozen, "POST", &path, "key-1", &body);
+            site.record.say(format!("client: POST {path} to entry-{frozen}: {status}"));
+            if status != 200 {
+                let (status, _) = site.call(other, "POST", &path, "key-1", &body);
+                site.record
+                    .say(format!("client: POST {path} to entry-{other}, the same call again: {status}"));
+            }
+        });
+        until(500);
+        site.configure(2, &[Route::new("weld", "paintcell"), Route::new("paint", "paintcell")], &["key-1"]);
+        until(3500);
+        site.configure(3, &[Route::new("weld", "weldcell"), Route::new("paint", "paintcell")], &["key-1"]);
+        until(4000);
+        if trouble {
+            site.signal(frozen, SIGCONT);
+        }
+    });
+    until(14_000);
+    Some(say_repeated_runs(site, id))
+}
+
+/// TWICE: a start order is not answered, its runner crashes and comes back, and the order is
+/// carried out then.
+fn late_start(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    // After a runner's start its owner expects the longest lease for a while.
+    sleep_ms(22_000);
+    let id = "00000000000000c1";
+    if trouble {
+        site.runners.iter().for_each(|it| it.keep_next_start());
+    }
+    let (status, _) = site.call(0, "POST", &format!("/weld/{id}"), "key-1", &job(8000, 1, 1000, ""));
+    site.record.say(format!("client: POST /weld/{id}: {status}"));
+    if trouble {
+        let deadline = Instant::now() + Duration::from_secs(3);
+        let (runner, order) = loop {
+            if let Some(kept) = site.runners.iter().find_map(|it| Some((it, it.kept_start()?))) {
+                break kept;
+            }
+            if deadline < Instant::now() {
+                return None;
+            }
+            sleep_ms(5);
+        };
+        site.runners.iter().for_each(|it| it.answer_starts());
+        sleep_ms(100);
+        site.record.say(format!("trouble: {} crashes", runner.id));
+        runner.crash();
+        sleep_ms(6000);
+        site.record.say(format!("trouble: {} starts again", runner.id));
+        runner.begin_life(Some(order)).ok()?;
+    }
+    sleep_ms(9000);
+    Some(say_repeated_runs(site, id))
+}
+
+/// LOST: a job is accepted while the connection on which its owner reads requests is silent.
+fn unread_submission(site: &Site, trouble: bool) -> Option<bool> {
+    let part = site.run_probe("weld", "00000000000000aa")?;
+    let owner = site.owner_of(part)?;
+    let other = (0..site.instances.len()).find(|it| *it != owner)?;
+    let path = "/weld/00000000000000c1";
+    let silent_at = silence(site, owner, "keyed.requests", part, trouble)?;
+    sleep_ms(50);
+    let (status, _) = site.call(other, "POST", path, "key-1", &job(500, 1, 1000, ""));
+    let accepted_at = site.record.now();
+    site.record.say(format!("client: POST {path} to entry-{other}: {status}"));
+    let mut unknown = 0;
+    while site.record.now() < accepted_at + Duration::from_secs(6) {
+        let (status, body) = site.call(other, "GET", path, "key-1", "");
+        let now = site.record.now();
+        site.record.note(format!("client: GET {path} to entry-{other}: {status} {body}"));
+        if status == 410 && accepted_at + VISIBLE < now && silent_at + CONTACT < now {
+            unknown += 1;
+            let age = (now - accepted_at).as_millis();
+            site.record
+                .say(format!("LOST: 410 for an accepted job, {age} ms after its acknowledgement"));
+        }
+        sleep_ms(100);
+    }
+    Some(unknown != 0)
+}
+
+/// CONFIG: a key is taken away while the connection on which an instance reads the configuration
+/// is silent.
+fn unread_configuration(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    let routes = [Route::new("weld", "weldcell"), Route::new("paint", "paintcell")];
+    // A change of the configuration, after which the next read begins.
+    site.configure(2, &routes, &["key-1", "key-2"]);
+    let silent_at = silence(site, 0, "keyed.op", 0, trouble)?;
+    sleep_ms(50);
+    site.configure(3, &routes, &["key-1"]);
+    let changed_at = site.record.now();
+    let mut served = 0;
+    for number in 0..60 {
+        let path = format!("/weld/{:016x}", 0xd0 + number);
+        let sent_at = site.record.now();
+        let (status, _) = site.call(0, "POST", &path, "key-2", &job(100, 1, 1000, ""));
+        site.record.note(format!("client: POST {path} to entry-0 with key-2: {status}"));
+        if status == 200 && changed_at + CONFIG_APPLY < sent_at && silent_at + CONTACT < sent_at {
+            served += 1;
+            let age = (sent_at - changed_at).as_millis();
+            site.record
+                .say(format!("CONFIG: a job is accepted with a dropped key, {age} ms after the change"));
+        }
+        sleep_ms(100);
+    }
+    Some(served != 0)
+}
+
+/// BUDGET: the route of a job that can never be done is removed.
+fn failing_removed(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    let id = "00000000000000c1";
+    let (status, _) = site.call(0, "POST", &format!("/weld/{id}"), "key-1", &job(800, 1, 1000, "fail;"));
+    site.record.say(format!("client: POST /weld/{id} to entry-0: {status}"));
+    sleep_ms(300);
+    if trouble {
+        site.configure(2, &[Route::new("paint", "paintcell")], &["key-1"]);
+    }
+    sleep_ms(10_000);
+    let count = runs_of(site, id).len();
+    site.record.say(format!("the task was started {count} times; maxAttempts is 3"));
+    Some(3 < count)
+}
+
+/// MIXED: jobs wait at a full service, and their queue moves to another one.
+fn pending_moved(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    // Two tasks of 60 cores fill the two runners.
+    for number in 0..22 {
+        let path = format!("/weld/{:016x}", 0xc000 + number);
+        let (status, _) = site.call(0, "POST", &path, "key-1", &job(30_000, 1, 60_000, ""));
+        site.record.note(format!("client: POST {path} to entry-0: {status}"));
+    }
+    sleep_ms(1000);
+    if trouble {
+        site.configure(2, &[Route::new("weld", "paintcell"), Route::new("paint", "paintcell")], &["key-1"]);
+    }
+    sleep_ms(6000);
+    let begun = site.runs().iter().filter(|it| it.task.starts_with("000000000000c0")).count() as u64;
+    let (status, body) = site.call(1, "GET", "/weld/", "key-1", "");
+    site.record.say(format!(
+        "client: GET /weld/ to entry-1: {status} {body}; {begun} of 22 accepted jobs have begun"
+    ));
+    let pending = json::parse(body.as_bytes()).get("pending").number();
+    Some(status == 200 && pending * 2 < 22 - begun)
+}
+
+/// LOST: both members of a gang fail in their first run, on one runner.
+fn gang_failed(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    let weld = Route {
+        max_attempts: 2,
+        ..Route::new("weld", "weldcell")
+    };
+    site.configure(2, &[weld], &["key-1"]);
+    sleep_ms(2500);
+    let path = "/weld/00000000000000c1";
+    let fail = if trouble { "fail-first;" } else { "" };
+    let step = "{\"count\":2,\"cpu\":1000,\"memMb\":64,\"estimateMs\":300,\"gang\":true}";
+    let (status, _) = site.call(
+        0,
+        "POST",
+        path,
+        "key-1",
+        &format!("{{\"spec\":\"ms=300;{fail}\",\"phases\":[{step}]}}"),
+    );
+    site.record.say(format!("client: POST {path} to entry-0: {status}"));
+    sleep_ms(5000);
+    let (status, answer) = site.call(0, "GET", path, "key-1", "");
+    let runs = runs_of(site, "00000000000000c1").len();
+    site.record.say(format!(
+        "client: GET {path}: {status} {answer}; {runs} runs of two tasks, maxAttempts is 2"
+    ));
+    Some(answer.contains("failed"))
+}
+
+/// LOST: the tasks of a lasting gang end done.
+fn gang_done(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    let path = "/weld/00000000000000c1";
+    let step = format!("{{\"count\":2,\"cpu\":1000,\"memMb\":64,\"estimateMs\":2000,\"gang\":{trouble},\"longRunning\":true}}");
+    let (status, _) = site.call(0, "POST", path, "key-1", &format!("{{\"spec\":\"ms=2000;\",\"phases\":[{step}]}}"));
+    site.record.say(format!("client: POST {path} to entry-0: {status}"));
+    sleep_ms(12_000);
+    let (status, answer) = site.call(0, "GET", path, "key-1", "");
+    let runs = runs_of(site, "00000000000000c1").len();
+    site.record
+        .say(format!("client: GET {path}: {status} {answer}; {runs} runs of two lasting tasks"));
+    Some(answer.contains("completed"))
+}
+
+/// ROUTE: the members of a gang of which one may run on a runner. Without trouble it is no gang.
+fn gang_spread(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    let path = "/weld/00000000000000c1";
+    let step = format!("{{\"count\":2,\"cpu\":1000,\"memMb\":64,\"estimateMs\":2000,\"gang\":{trouble},\"antiAffinity\":1}}");
+    let (status, _) = site.call(0, "POST", path, "key-1", &format!("{{\"spec\":\"ms=2000;\",\"phases\":[{step}]}}"));
+    site.record.say(format!("client: POST {path} to entry-0: {status}"));
+    sleep_ms(3000);
+    let runners: Vec<String> = runs_of(site, "00000000000000c1").into_iter().map(|it| it.runner).collect();
+    site.record.say(format!("the tasks run on {runners:?}; antiAffinity is 1"));
+    Some(runners.len() == 2 && runners[0] == runners[1])
+}
