--- a/review/standin/further.rs
+++ b/review/standin/further.rs
@@ -25,6 +25,7 @@
         "gang-failed" => gang_failed,
         "gang-done" => gang_done,
         "gang-spread" => gang_spread,
+        "long-task" => long_task,
         _ => return None,
     })
 }
@@ -288,3 +289,17 @@
     site.record.say(format!("the tasks run on {runners:?}; antiAffinity is 1"));
     Some(runners.len() == 2 && runners[0] == runners[1])
 }
+
+/// No rule's letter: a task of ten minutes makes no progress that its percentage shows within 2.5 s.
+/// Without trouble it takes one minute.
+fn long_task(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    let id = "00000000000000c1";
+    let work_ms = if trouble { 600_000 } else { 60_000 };
+    let (status, _) = site.call(0, "POST", &format!("/weld/{id}"), "key-1", &job(work_ms, 1, 1000, ""));
+    site.record.say(format!("client: POST /weld/{id} to entry-0: {status}"));
+    sleep_ms(30_000);
+    let runs = runs_of(site, id).len();
+    site.record.say(format!("the task was started {runs} times in 30 s"));
+    Some(1 < runs)
+}
