--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -15,10 +15,6 @@
 const FINISH: Duration = Duration::from_secs(14);
 /// Time for which nothing of a waiting job runs that breaks LOST.
 const IDLE: Duration = Duration::from_secs(3);
-/// Time after a disruption from which the instances are in touch again (`contactMs`).
-pub const CONTACT: Duration = Duration::from_millis(3000);
-/// `cancel_ms`.
-const CANCEL: Duration = Duration::from_millis(3000);
 
 /// A case: its runners, and what it does at a site.
 type Case = (Vec<(&'static str, u64)>, fn(&Site, bool) -> Option<bool>);
@@ -30,7 +26,6 @@
         "blocked-pool" => (vec![("weldcell", 64); BLOCKED_POOL], blocked_pool),
         "route-replaced" => (RUNNERS.to_vec(), route_replaced),
         "late-approval" => (vec![("weldcell", 64); ADVISED_POOL], late_approval),
-        "unread-cancel" => (RUNNERS.to_vec(), unread_cancel),
         name => (RUNNERS.to_vec(), further::find(name)?),
     };
     let root = std::env::current_dir().ok()?;
@@ -285,52 +280,3 @@
     thread::sleep(FINISH);
     Some(count_idle_jobs(site, "weld", &[id]) != 0)
 }
-
-/// Has one connection of an instance to the store fall silent, on which it reads a partition.
-/// Returns when.
-pub fn silence(site: &Site, instance: usize, topic: &str, part: u64, trouble: bool) -> Option<Duration> {
-    if !trouble {
-        return Some(site.record.now());
-    }
-    site.store.silence_next_read(instance, topic, part);
-    let deadline = Instant::now() + Duration::from_secs(4);
-    while Instant::now() < deadline {
-        if let Some(at) = site.store.silenced_at() {
-            return Some(site.record.now().saturating_sub(at.elapsed()));
-        }
-        sleep_ms(2);
-    }
-    None
-}
-
-/// UNASKED: a job is cancelled while the connection on which its owner reads requests is silent.
-fn unread_cancel(site: &Site, trouble: bool) -> Option<bool> {
-    let part = site.run_probe("weld", "00000000000000aa")?;
-    let owner = site.owner_of(part)?;
-    let other = (0..site.instances.len()).find(|it| *it != owner)?;
-    let id = "00000000000000c1";
-    let path = format!("/weld/{id}");
-    // On 128 cores four tasks run at a time, sixteen a second.
-    let (status, _) = site.call(other, "POST", &path, "key-1", &job(250, 200, 32_000, ""));
-    site.record.say(format!("client: POST {path} to entry-{other}: {status}"));
-    sleep_ms(1000);
-    let silent_at = silence(site, owner, "keyed.requests", part, trouble)?;
-    sleep_ms(50);
-    let (status, _) = site.call(other, "DELETE", &path, "key-1", "");
-    let cancelled_at = site.record.now();
-    site.record.say(format!("client: DELETE {path} to entry-{other}: {status}"));
-    if status != 200 {
-        return None;
-    }
-    sleep_ms(5000);
-    let starts: Vec<Duration> = runs_of(site, id).iter().map(|it| it.started).collect();
-    let after = starts.iter().filter(|it| cancelled_at < **it).count();
-    let is_late = |it: &&Duration| cancelled_at + CANCEL < **it && silent_at + CONTACT < **it;
-    let late = starts.iter().filter(is_late).count();
-    let latest = starts.iter().max()?.saturating_sub(cancelled_at);
-    site.record.say(format!(
-        "{after} tasks were started after the cancel was acknowledged, the last one {} ms after; {late} of them later than cancel_ms and contactMs",
-        latest.as_millis()
-    ));
-    Some(late != 0)
-}
--- a/review/standin/further.rs
+++ b/review/standin/further.rs
@@ -4,11 +4,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::cases::{CONTACT, runs_of, say_repeated_runs, silence, sleep_ms};
+use crate::cases::{runs_of, say_repeated_runs, sleep_ms};
 use crate::json;
 use crate::site::{Route, SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Site, job};
 
-/// `visible_ms` and `configApplyMs`.
+/// Time after a disruption from which the instances are in touch again (`contactMs`).
+const CONTACT: Duration = Duration::from_millis(3000);
+/// `cancel_ms`, `visible_ms` and `configApplyMs`.
+const CANCEL: Duration = Duration::from_millis(3000);
 const VISIBLE: Duration = Duration::from_millis(3000);
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
 
@@ -18,6 +21,7 @@
         "moves-forgotten" => moves_forgotten,
         "queue-moves-back" => queue_moves_back,
         "late-start" => late_start,
+        "unread-cancel" => unread_cancel,
         "unread-submission" => unread_submission,
         "unread-configuration" => unread_configuration,
         "failing-removed" => failing_removed,
@@ -139,6 +143,55 @@
     Some(say_repeated_runs(site, id))
 }
 
+/// Has one connection of an instance to the store fall silent, on which it reads a partition.
+/// Returns when.
+fn silence(site: &Site, instance: usize, topic: &str, part: u64, trouble: bool) -> Option<Duration> {
+    if !trouble {
+        return Some(site.record.now());
+    }
+    site.store.silence_next_read(instance, topic, part);
+    let deadline = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < deadline {
+        if let Some(at) = site.store.silenced_at() {
+            return Some(site.record.now().saturating_sub(at.elapsed()));
+        }
+        sleep_ms(2);
+    }
+    None
+}
+
+/// UNASKED: a job is cancelled while the connection on which its owner reads requests is silent.
+fn unread_cancel(site: &Site, trouble: bool) -> Option<bool> {
+    let part = site.run_probe("weld", "00000000000000aa")?;
+    let owner = site.owner_of(part)?;
+    let other = (0..site.instances.len()).find(|it| *it != owner)?;
+    let id = "00000000000000c1";
+    let path = format!("/weld/{id}");
+    // On 128 cores four tasks run at a time, sixteen a second.
+    let (status, _) = site.call(other, "POST", &path, "key-1", &job(250, 200, 32_000, ""));
+    site.record.say(format!("client: POST {path} to entry-{other}: {status}"));
+    sleep_ms(1000);
+    let silent_at = silence(site, owner, "keyed.requests", part, trouble)?;
+    sleep_ms(50);
+    let (status, _) = site.call(other, "DELETE", &path, "key-1", "");
+    let cancelled_at = site.record.now();
+    site.record.say(format!("client: DELETE {path} to entry-{other}: {status}"));
+    if status != 200 {
+        return None;
+    }
+    sleep_ms(5000);
+    let starts: Vec<Duration> = runs_of(site, id).iter().map(|it| it.started).collect();
+    let after = starts.iter().filter(|it| cancelled_at < **it).count();
+    let is_late = |it: &&Duration| cancelled_at + CANCEL < **it && silent_at + CONTACT < **it;
+    let late = starts.iter().filter(is_late).count();
+    let latest = starts.iter().max()?.saturating_sub(cancelled_at);
+    site.record.say(format!(
+        "{after} tasks were started after the cancel was acknowledged, the last one {} ms after; {late} of them later than cancel_ms and contactMs",
+        latest.as_millis()
+    ));
+    Some(late != 0)
+}
+
 /// LOST: a job is accepted while the connection on which its owner reads requests is silent.
 fn unread_submission(site: &Site, trouble: bool) -> Option<bool> {
     let part = site.run_probe("weld", "00000000000000aa")?;
