review: show that a queue moved there and back has a job run twice

An instance that was frozen stores a request under the configuration that it had, and the owner of the pool to which the queue has moved back admits it.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -7,17 +7,17 @@
 
 use crate::further;
 use crate::runner::Run;
-use crate::site::{Route, Site, client_call, job};
+use crate::site::{Route, SIGCONT, SIGSTOP, Site, client_call, job};
 
 /// Runners of most cases: service and cores.
-const RUNNERS: [(&str, u64); 4] = [("weldcell", 64), ("weldcell", 64), ("paintcell", 64), ("paintcell", 64)];
+pub const RUNNERS: [(&str, u64); 4] = [("weldcell", 64), ("weldcell", 64), ("paintcell", 64), ("paintcell", 64)];
 /// Time after the end of the traffic at which jobs are asked for (`finish_s`).
-const FINISH: Duration = Duration::from_secs(14);
+pub const FINISH: Duration = Duration::from_secs(14);
 /// Time for which nothing of a waiting job runs that breaks LOST.
 const IDLE: Duration = Duration::from_secs(3);
 
 /// A case: its runners, and what it does at a site.
-type Case = (Vec<(&'static str, u64)>, fn(&Site, bool) -> Option<bool>);
+pub type Case = (Vec<(&'static str, u64)>, fn(&Site, bool) -> Option<bool>);
 
 /// Plays a case and writes its record into a folder.
 pub fn play(name: &str, folder: &Path, trouble: bool) -> Option<bool> {
@@ -25,11 +25,13 @@
         "large-commit" => (RUNNERS.to_vec(), large_commit),
         "blocked-pool" => (vec![("weldcell", 64); BLOCKED_POOL], blocked_pool),
         "route-replaced" => (RUNNERS.to_vec(), route_replaced),
-        "late-approval" => (vec![("weldcell", 64); ADVISED_POOL], late_approval),
-        name => (RUNNERS.to_vec(), further::find(name)?),
+        "queue-moves-back" => (RUNNERS.to_vec(), queue_moves_back),
+        name => further::find(name)?,
     };
     let root = std::env::current_dir().ok()?;
-    let site = match Site::start(&root, 3, &runners) {
+    // Three of four own few enough partitions each to read all their requests at the same time.
+    let instances = if name == "queue-moves-back" { 4 } else { 3 };
+    let site = match Site::start(&root, instances, &runners) {
         Ok(site) => site,
         Err(err) => {
             println!("cannot start: {err}");
@@ -100,7 +102,7 @@
 }
 
 /// Asks for the states of jobs, and returns how many of them had nothing running for [`IDLE`].
-fn count_idle_jobs(site: &Site, queue: &str, ids: &[String]) -> usize {
+pub fn count_idle_jobs(site: &Site, queue: &str, ids: &[String]) -> usize {
     let asked_at = site.record.now();
     let mut states: BTreeMap<String, usize> = BTreeMap::new();
     let mut open = Vec::new();
@@ -257,26 +259,43 @@
     Some(say_repeated_runs(site, id))
 }
 
-/// Runners of `late_approval`.
-const ADVISED_POOL: usize = 40;
-
-/// LOST: the policy of a queue approves a few runners of a pool of forty, and its job never runs.
-fn late_approval(site: &Site, trouble: bool) -> Option<bool> {
-    site.run_probe("weld", "00000000000000aa")?;
-    let approved = if trouble { 34..40 } else { 0..6 };
-    let _service = site.serve_advice(approved.collect()).ok()?;
-    let advised = Route {
-        is_advised: true,
-        ..Route::new("weld", "weldcell")
-    };
-    site.configure(2, &[advised], &["key-1"]);
-    sleep_ms(2500);
-    let id = "00000000000000c1".to_owned();
-    let (status, _) = site.call(0, "POST", &format!("/weld/{id}"), "key-1", &job(500, 4, 1000, ""));
-    site.record.say(format!("client: POST /weld/{id} to entry-0: {status}"));
-    if status != 200 {
-        return None;
+/// TWICE: an instance is frozen while a job is handed in to it; meanwhile the queue moves to
+/// another service, where the repeated call is accepted, and back.
+fn queue_moves_back(site: &Site, trouble: bool) -> Option<bool> {
+    let weld = site.run_probe("weld", "00000000000000aa")?;
+    let paint = site.run_probe("paint", "00000000000000bb")?;
+    let owners = [site.owner_of(weld)?, site.owner_of(paint)?];
+    let frozen = (0..site.instances.len()).find(|it| !owners.contains(it))?;
+    let other = (0..site.instances.len()).find(|it| *it != frozen)?;
+    let id = "00000000000000c1";
+    let path = format!("/weld/{id}");
+    let body = job(6000, 2, 1000, "");
+    let begin = Instant::now();
+    let until = |ms: u64| thread::sleep((begin + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+    if trouble {
+        site.signal(frozen, SIGSTOP);
     }
-    thread::sleep(FINISH);
-    Some(count_idle_jobs(site, "weld", &[id]) != 0)
+    let mut client = site.client(frozen);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            until(50);
+            let (status, _) = client_call(&mut client, "POST", &path, "key-1", &body);
+            site.record.say(format!("client: POST {path} to entry-{frozen}: {status}"));
+            if status != 200 {
+                let (status, _) = site.call(other, "POST", &path, "key-1", &body);
+                site.record
+                    .say(format!("client: POST {path} to entry-{other}, the same call again: {status}"));
+            }
+        });
+        until(500);
+        site.configure(2, &[Route::new("weld", "paintcell"), Route::new("paint", "paintcell")], &["key-1"]);
+        until(3500);
+        site.configure(3, &[Route::new("weld", "weldcell"), Route::new("paint", "paintcell")], &["key-1"]);
+        until(4000);
+        if trouble {
+            site.signal(frozen, SIGCONT);
+        }
+    });
+    until(14_000);
+    Some(say_repeated_runs(site, id))
 }
--- a/review/standin/further.rs
+++ b/review/standin/further.rs
@@ -4,9 +4,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::cases::{runs_of, say_repeated_runs, sleep_ms};
+use crate::cases::{Case, FINISH, RUNNERS, count_idle_jobs, runs_of, say_repeated_runs, sleep_ms};
 use crate::json;
-use crate::site::{Route, SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Site, job};
+use crate::site::{Route, SIGKILL, SIGTERM, Site, job};
 
 /// Time after a disruption from which the instances are in touch again (`contactMs`).
 const CONTACT: Duration = Duration::from_millis(3000);
@@ -16,11 +16,14 @@
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
 
 /// Returns an observation by its name.
-pub fn find(name: &str) -> Option<fn(&Site, bool) -> Option<bool>> {
-    Some(match name {
+pub fn find(name: &str) -> Option<Case> {
+    if name == "late-approval" {
+        return Some((vec![("weldcell", 64); ADVISED_POOL], late_approval));
+    }
+    let observation: fn(&Site, bool) -> Option<bool> = match name {
         "moves-forgotten" => moves_forgotten,
-        "queue-moves-back" => queue_moves_back,
         "late-start" => late_start,
+        "last-instance" => last_instance,
         "unread-cancel" => unread_cancel,
         "unread-submission" => unread_submission,
         "unread-configuration" => unread_configuration,
@@ -31,7 +34,32 @@
         "gang-spread" => gang_spread,
         "long-task" => long_task,
         _ => return None,
-    })
+    };
+    Some((RUNNERS.to_vec(), observation))
+}
+
+/// Runners of `late_approval`.
+const ADVISED_POOL: usize = 40;
+
+/// LOST: the policy of a queue approves a few runners of a pool of forty, and its job never runs.
+fn late_approval(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    let approved = if trouble { 34..40 } else { 0..6 };
+    let _service = site.serve_advice(approved.collect()).ok()?;
+    let advised = Route {
+        is_advised: true,
+        ..Route::new("weld", "weldcell")
+    };
+    site.configure(2, &[advised], &["key-1"]);
+    sleep_ms(2500);
+    let id = "00000000000000c1".to_owned();
+    let (status, _) = site.call(0, "POST", &format!("/weld/{id}"), "key-1", &job(500, 4, 1000, ""));
+    site.record.say(format!("client: POST /weld/{id} to entry-0: {status}"));
+    if status != 200 {
+        return None;
+    }
+    thread::sleep(FINISH);
+    Some(count_idle_jobs(site, "weld", &[id]) != 0)
 }
 
 /// TWICE: a queue moves to another service, the store forgets its history, an instance is stopped
@@ -68,46 +96,6 @@
     Some(say_repeated_runs(site, id))
 }
 
-/// TWICE: an instance is frozen while a job is handed in to it; meanwhile the queue moves to
-/// another service, where the repeated call is accepted, and back.
-fn queue_moves_back(site: &Site, trouble: bool) -> Option<bool> {
-    let weld = site.run_probe("weld", "00000000000000aa")?;
-    let paint = site.run_probe("paint", "00000000000000bb")?;
-    let owners = [site.owner_of(weld)?, site.owner_of(paint)?];
-    let frozen = (0..site.instances.len()).find(|it| !owners.contains(it))?;
-    let other = (0..site.instances.len()).find(|it| *it != frozen)?;
-    let id = "00000000000000c1";
-    let path = format!("/weld/{id}");
-    let body = job(6000, 2, 1000, "");
-    let begin = Instant::now();
-    let until = |ms: u64| thread::sleep((begin + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
-    if trouble {
-        site.signal(frozen, SIGSTOP);
-    }
-    thread::scope(|scope| {
-        scope.spawn(|| {
-            until(50);
-            let (status, _) = site.call(frozen, "POST", &path, "key-1", &body);
-            site.record.say(format!("client: POST {path} to entry-{frozen}: {status}"));
-            if status != 200 {
-                let (status, _) = site.call(other, "POST", &path, "key-1", &body);
-                site.record
-                    .say(format!("client: POST {path} to entry-{other}, the same call again: {status}"));
-            }
-        });
-        until(500);
-        site.configure(2, &[Route::new("weld", "paintcell"), Route::new("paint", "paintcell")], &["key-1"]);
-        until(3500);
-        site.configure(3, &[Route::new("weld", "weldcell"), Route::new("paint", "paintcell")], &["key-1"]);
-        until(4000);
-        if trouble {
-            site.signal(frozen, SIGCONT);
-        }
-    });
-    until(14_000);
-    Some(say_repeated_runs(site, id))
-}
-
 /// TWICE: a start order is not answered, its runner crashes and comes back, and the order is
 /// carried out then.
 fn late_start(site: &Site, trouble: bool) -> Option<bool> {
@@ -356,3 +344,40 @@
     site.record.say(format!("the task was started {runs} times in 30 s"));
     Some(1 < runs)
 }
+
+/// CONFIG: two of three instances are lost; keys are taken away, one after the other.
+fn last_instance(site: &Site, trouble: bool) -> Option<bool> {
+    site.run_probe("weld", "00000000000000aa")?;
+    let routes = [Route::new("weld", "weldcell"), Route::new("paint", "paintcell")];
+    let all = ["key-1", "key-2", "key-3", "key-4", "key-5", "key-6", "key-7"];
+    site.configure(2, &routes, &all);
+    if trouble {
+        site.signal(1, SIGKILL);
+        site.signal(2, SIGKILL);
+    }
+    sleep_ms(9000);
+    let mut late = 0;
+    for dropped in 1..all.len() {
+        let key = all[all.len() - dropped];
+        site.configure(2 + dropped as u64, &routes, &all[..all.len() - dropped]);
+        let changed_at = site.record.now();
+        let mut latest = Duration::ZERO;
+        while site.record.now() < changed_at + Duration::from_millis(5300) {
+            let number = site.record.now().as_millis();
+            let path = format!("/weld/{number:016x}");
+            let sent_at = site.record.now();
+            let (status, _) = site.call(0, "POST", &path, key, &job(100, 1, 1000, ""));
+            site.record.note(format!("client: POST {path} to entry-0 with {key}: {status}"));
+            if status == 200 {
+                latest = sent_at - changed_at;
+            }
+            sleep_ms(50);
+        }
+        late += usize::from(CONFIG_APPLY < latest);
+        site.record.say(format!(
+            "{key} was accepted until {} ms after the change was acknowledged",
+            latest.as_millis()
+        ));
+    }
+    Some(late != 0)
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -185,14 +185,20 @@
 pub struct Client {
     addr: SocketAddr,
     connection: Option<BufReader<TcpStream>>,
+    /// Connections whose answers were given up. They are closed with the client.
+    abandoned: Vec<BufReader<TcpStream>>,
 }
 
 impl Client {
     pub fn new(addr: SocketAddr) -> Client {
-        Client { addr, connection: None }
+        Client {
+            addr,
+            connection: None,
+            abandoned: Vec::new(),
+        }
     }
 
-    /// Makes a call and returns status and body. Any error closes the connection.
+    /// Makes a call and returns status and body. After any error the next call opens a connection.
     pub fn call(
         &mut self,
         method: &str,
@@ -203,7 +209,7 @@
     ) -> io::Result<(u16, Vec<u8>)> {
         let result = self.try_call(method, path, headers, body, timeout);
         if result.is_err() {
-            self.connection = None;
+            self.abandoned.extend(self.connection.take());
         }
         result
     }
