--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -10,6 +10,7 @@
 //! - `checker`: the promises.
 //! - `process`: the instances.
 //! - `traffic`: callers.
+//! - `scenario`: runs in which given events happen in a given order.
 //! - `faults`: the faults.
 
 mod checker;
@@ -18,6 +19,7 @@
 mod link;
 mod log;
 mod process;
+mod scenario;
 mod site;
 mod traffic;
 mod worker;
@@ -32,7 +34,8 @@
 
 use crate::faults::Injector;
 use crate::process::Instance;
-use crate::site::{Faults, INSTANCES, Site};
+use crate::scenario::{CONFIG_TIME, Scenario};
+use crate::site::{Faults, Site};
 use crate::traffic::Callers;
 
 /// Time from the start until the faults end.
@@ -102,20 +105,9 @@
         let fleet = injector.fleet.lock().unwrap_or_else(|it| it.into_inner());
         fleet.iter().map(|it| it.ready_port).collect()
     };
-    while injector.site.now() < START_TIME {
-        let mut ready = 0;
-        for port in &ports {
-            let addr = std::net::SocketAddr::from(([127, 0, 0, 1], *port));
-            let call = oriole_daemon::client::Call::get(addr, "/readyz", Duration::from_millis(500));
-            let answer = oriole_daemon::client::Client::new().call(call).await;
-            ready += usize::from(answer.is_ok_and(|it| it.status == 200));
-        }
-        if ready == INSTANCES {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(100)).await;
+    for port in ports {
+        process::wait_until_ready(port, START_TIME.saturating_sub(injector.site.now())).await;
     }
-    panic!("the instances do not get ready");
 }
 
 /// Waits until all accepted jobs have completed and all lasting tasks run. Records those that
@@ -260,3 +252,19 @@
 fn promises_hold_when_a_queue_moves_there_and_back() {
     check_seeds(&[347, 6014, 6043], Faults::QueuesMove);
 }
+
+const JOB: &str = "00000000000000c1";
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_runs_once_if_its_route_is_replaced_and_its_call_repeated() {
+    // TWICE: the new route had another name, so the owner of the former pool was not asked.
+    let scenario = Scenario::start("route-replaced").await;
+    assert_eq!(scenario.submit(0, 0, JOB).await, 200);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    scenario.configure(2, "other", 1);
+    tokio::time::sleep(CONFIG_TIME).await;
+    for instance in scenario.instances() {
+        assert_eq!(scenario.submit(instance, 0, JOB).await, 200);
+    }
+    scenario.check_that_each_task_ran_once(JOB).await;
+}
--- a/fleet/tests/test_soak/process.rs
+++ b/fleet/tests/test_soak/process.rs
@@ -153,6 +153,21 @@
     }
 }
 
+/// Waits until the instance with a port for checks reports itself ready.
+pub(crate) async fn wait_until_ready(ready_port: u16, patience: Duration) {
+    let addr = std::net::SocketAddr::from(([127, 0, 0, 1], ready_port));
+    let deadline = tokio::time::Instant::now() + patience;
+    while tokio::time::Instant::now() < deadline {
+        let call = oriole_daemon::client::Call::get(addr, "/readyz", Duration::from_millis(500));
+        let answer = oriole_daemon::client::Client::new().call(call).await;
+        if answer.is_ok_and(|it| it.status == 200) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("the instances do not get ready");
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         self.kill();
--- /dev/null
+++ b/fleet/tests/test_soak/scenario.rs
@@ -0,0 +1,114 @@
+//! Runs in which given events happen in a given order, without other faults.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::json;
+
+use crate::checker::{Job, Step};
+use crate::process::Instance;
+use crate::site::{Faults, INSTANCES, POOLS, Site};
+use crate::traffic::{self, Callers};
+use crate::{log, process};
+
+/// Time within which a configuration is in effect (`configApplyMs`).
+pub(crate) const CONFIG_TIME: Duration = Duration::from_millis(2000);
+/// Time for which each task of a job runs.
+const TASK_TIME: Duration = Duration::from_millis(6000);
+/// Time within which the instances get ready and admit a job.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Instances with the services around them.
+pub(crate) struct Scenario {
+    site: Arc<Site>,
+    fleet: Vec<Instance>,
+    callers: Callers,
+    folder: PathBuf,
+}
+
+impl Scenario {
+    /// Starts the services and the instances, and waits until all are ready.
+    pub(crate) async fn start(name: &str) -> Scenario {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("the folder can be created");
+        let (site, log_ports, _pauses) = Site::start(0, Duration::ZERO, Faults::QueuesMove).await;
+        let instance = |(number, port): (usize, &u16)| Instance::new(&folder, number, *port, log::PARTS);
+        let mut fleet: Vec<Instance> = log_ports.iter().enumerate().map(instance).collect();
+        let callers = Callers::new(site.clone(), fleet.iter().map(|it| it.caller_port));
+        fleet.iter_mut().for_each(Instance::start);
+        for instance in &fleet {
+            process::wait_until_ready(instance.ready_port, PATIENCE).await;
+        }
+        Scenario {
+            site,
+            fleet,
+            callers,
+            folder,
+        }
+    }
+
+    /// Writes a configuration that assigns the first queue, under a name, to a pool.
+    pub(crate) fn configure(&self, version: u64, name: &str, pool: usize) {
+        self.site.configure_first_queue(version, name, POOLS[pool]);
+    }
+
+    /// Submits a job to a queue at an instance. Returns the status of the answer, 0 if there is none.
+    pub(crate) async fn submit(&self, instance: usize, queue: usize, id: &str) -> u16 {
+        let steps = vec![Step {
+            count: 2,
+            cpu: 100,
+            mem: 50,
+            duration: TASK_TIME,
+            follows: false,
+            lasting: false,
+        }];
+        let body = json!({ "spec": id, "phases": steps.iter().enumerate().map(traffic::phase).collect::<Vec<_>>() });
+        self.site
+            .lock()
+            .checker
+            .jobs
+            .entry(id.to_owned())
+            .or_insert_with(|| Job::new(id.to_owned(), steps));
+        let path = format!("/q{queue}/{id}");
+        let status = self.callers.call_instance(instance, Method::POST, &path, &body).await.0;
+        let now = self.site.now();
+        self.site
+            .lock()
+            .checker
+            .note(now, id, format!("submit to entry-{instance}: {status}"));
+        status
+    }
+
+    /// Waits until the tasks of a job have ended that started by now, and checks that each has run
+    /// once.
+    pub(crate) async fn check_that_each_task_ran_once(&self, id: &str) {
+        tokio::time::sleep(TASK_TIME + Duration::from_secs(2)).await;
+        self.check_promises(id);
+        let mut rng = StdRng::seed_from_u64(0);
+        self.callers.read(&mut rng, id).await;
+        assert!(self.site.lock().checker.jobs[id].completed, "the job has not completed");
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+
+    /// Checks that no promise was broken.
+    pub(crate) fn check_promises(&self, id: &str) {
+        let checker = &self.site.lock().checker;
+        let lines: Vec<String> = self.fleet.iter().flat_map(|it| it.lines_with(id)).collect();
+        let history = checker.history_of(id).join("\n");
+        assert!(
+            checker.violations.is_empty(),
+            "{:?}\n{history}\n{}",
+            checker.violations,
+            lines.join("\n")
+        );
+    }
+
+    /// Number of instances; any of them may get a call.
+    pub(crate) fn instances(&self) -> std::ops::Range<usize> {
+        0..INSTANCES
+    }
+}
--- a/fleet/tests/test_soak/site.rs
+++ b/fleet/tests/test_soak/site.rs
@@ -134,18 +134,25 @@
         self.appended.send_modify(|it| *it += 1);
     }
 
-    /// Writes a configuration. With `moved` the first queue belongs to the other pool.
+    /// Writes a configuration. With `moved` the first queue belongs to the other pool, in odd
+    /// versions under another name.
     pub(crate) fn configure(&self, version: u64, moved: bool) {
-        let queue = |number: usize, pool: &str| {
+        let name = if moved && !version.is_multiple_of(2) { "other" } else { "q-0" };
+        self.configure_first_queue(version, name, POOLS[usize::from(moved)]);
+    }
+
+    /// Writes a configuration that assigns the first queue, under a name, to a pool.
+    pub(crate) fn configure_first_queue(&self, version: u64, name: &str, pool: &str) {
+        let queue = |number: usize, name: &str, pool: &str| {
             json!({
-                "name": format!("q-{number}"), "host": "127.0.0.1", "pathPrefix": format!("/q{number}/"), "service": pool,
+                "name": name, "host": "127.0.0.1", "pathPrefix": format!("/q{number}/"), "service": pool,
                 "maxAttempts": 3, "priority": 1, "slackFactor": 2.0, "targetLatencyMs": 2000, "public": false,
             })
         };
-        let pool = |name: &&str| json!({ "name": name, "enforceLimits": false });
+        let service = |name: &&str| json!({ "name": name, "enforceLimits": false });
         let config = json!({
-            "version": version, "limits": {}, "services": POOLS.iter().map(pool).collect::<Vec<_>>(),
-            "routes": [queue(0, POOLS[usize::from(moved)]), queue(1, POOLS[0]), queue(2, POOLS[1])],
+            "version": version, "limits": {}, "services": POOLS.iter().map(service).collect::<Vec<_>>(),
+            "routes": [queue(0, name, pool), queue(1, "q-1", POOLS[0]), queue(2, "q-2", POOLS[1])],
             "tenants": [{ "name": "team", "apiKeys": ["key"], "weight": 10 + version }],
         });
         self.lock().log.put(OPERATORS, "config", Some(config));
--- a/fleet/tests/test_soak/traffic.rs
+++ b/fleet/tests/test_soak/traffic.rs
@@ -48,7 +48,13 @@
 
     /// Calls an instance drawn at random. Returns the status, 0 if there was no answer.
     pub(crate) async fn call(&self, rng: &mut StdRng, method: Method, path: &str, body: &Value) -> (u16, Value) {
-        let instance = &self.instances[rng.random_range(0..self.instances.len())];
+        let instance = rng.random_range(0..self.instances.len());
+        self.call_instance(instance, method, path, body).await
+    }
+
+    /// Calls an instance. Returns the status, 0 if there was no answer.
+    pub(crate) async fn call_instance(&self, instance: usize, method: Method, path: &str, body: &Value) -> (u16, Value) {
+        let instance = &self.instances[instance];
         let body = match body {
             Value::Null => Bytes::new(),
             body => Bytes::from(body.to_string()),
@@ -177,7 +183,7 @@
 }
 
 /// Encodes a step of a job.
-fn phase((number, step): (usize, &Step)) -> Value {
+pub(crate) fn phase((number, step): (usize, &Step)) -> Value {
     let mut phase = json!({
         "count": step.count, "cpu": step.cpu, "memMb": step.mem, "estimateMs": step.duration.as_millis() as u64,
     });
