--- a/bench/src/measure/owner.rs
+++ b/bench/src/measure/owner.rs
@@ -57,7 +57,6 @@
         host: "host".to_owned(),
         path_prefix: "/q/".to_owned(),
         pool: Arc::from("pool"),
-        former_pools: Vec::new(),
         is_public: true,
         priority: 0,
         max_attempts: 2,
@@ -114,6 +113,7 @@
             steps,
             ..JobSpec::default()
         }),
+        origin: None,
     })
 }
 
--- a/fleet/src/actions.rs
+++ b/fleet/src/actions.rs
@@ -7,15 +7,16 @@
 use oriole_platform::log::{AppendPosition, Entry, Error, JOBS, Partition, REQUESTS};
 use oriolewall::decision::Decision;
 use oriolewall::id::PoolId;
+use oriolewall::inquiry::Holding;
 use oriolewall::job_record::{self, CancelKey, JobKey, Request};
 use oriolewall::order::{Action, OrderOutcome, fencing_token};
-use oriolewall::rpc::{PartitionId, RequestRecord};
+use oriolewall::rpc::{Call, PartitionId, Reply, RequestRecord};
 use serde::Serialize;
 use serde_json::json;
 
 use crate::node::Node;
 use crate::owner::{ADVICE_TIMEOUT, CALL_TIMEOUT, Event, Owner, RETRY_DELAY};
-use crate::{clock, request_log, watch};
+use crate::{clock, peer, request_log, watch};
 
 /// A decision with the ownership under which it was made.
 #[derive(Serialize)]
@@ -33,6 +34,7 @@
             Action::Commit(records) => self.commit(records),
             Action::RemoveRequests { submissions, cancels } => self.remove_requests(&submissions, &cancels),
             Action::HandOn { id, pool, requests } => self.hand_on(id, &pool, &requests),
+            Action::Inquire { pool, version, jobs } => self.inquire(pool, version, jobs),
             Action::Start(start) => {
                 let (events, fencing_token) = (self.events.clone(), fencing_token(self.epoch, start.contact));
                 let (id, key, contact) = (start.worker.clone(), start.key.clone(), start.contact);
@@ -125,6 +127,7 @@
                 self.node.metrics.run_ends.with_label_values(&[how]).inc();
                 "ended"
             }
+            Decision::HeldElsewhere { .. } => "held_elsewhere",
             Decision::Closed { .. } => "closed",
             Decision::Refused { .. } => "order_refused",
             Decision::Contact { .. } => "contact",
@@ -214,6 +217,47 @@
         });
     }
 
+    /// Asks the owner of another pool whether it has jobs.
+    fn inquire(&mut self, pool: PoolId, version: u64, jobs: Vec<JobKey>) {
+        let (node, events, own_part) = (self.node.clone(), self.events.clone(), self.part);
+        self.background_tasks.spawn(async move {
+            let part = node.partition_of(&pool);
+            let answer = if part == own_part {
+                // The jobs of all pools of a partition have one owner, which does not know these.
+                Some(vec![Holding::NotHeld; jobs.len()])
+            } else {
+                let call = Call::Inquire {
+                    part,
+                    version,
+                    jobs: jobs.clone(),
+                };
+                match peer::call(&node, part, call).await {
+                    Reply::Holdings(holdings) => Some(holdings),
+                    _ => None,
+                }
+            };
+            node.metrics.inquiries.with_label_values(&[answer_name(answer.as_deref())]).inc();
+            node.decision_log.write(
+                "inquiry",
+                json!({
+                    "part": own_part,
+                    "pool": pool,
+                    "to": part,
+                    "version": version,
+                    "jobs": jobs.len(),
+                    "first": jobs.first(),
+                    "answer": answer_name(answer.as_deref()),
+                }),
+            );
+            let _ = events.send(Event::HoldingsReceived {
+                pool,
+                version,
+                jobs,
+                answer,
+            });
+        });
+    }
+
     /// Removes submissions and cancellations from the log that job records contain.
     fn remove_requests(&mut self, submissions: &[JobKey], cancels: &[CancelKey]) {
         let node = self.node.clone();
@@ -233,6 +277,16 @@
     }
 }
 
+/// Returns the name of an answer to an inquiry in the metrics.
+fn answer_name(answer: Option<&[Holding]>) -> &'static str {
+    match answer {
+        None => "none",
+        Some(holdings) if holdings.contains(&Holding::Undecided) => "undecided",
+        Some(holdings) if holdings.contains(&Holding::Held) => "held",
+        Some(_) => "not_held",
+    }
+}
+
 /// Counts an order to a worker by its outcome.
 fn count_order(node: &Node, order: &str, answer: OrderOutcome) {
     let outcome = match answer {
--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -17,6 +17,7 @@
 use oriolewall::catalog::{Catalog, Queue};
 use oriolewall::id::{PoolId, TeamId};
 use oriolewall::job_record::{self, Addressee, JobKey, Submission};
+use oriolewall::pool_history::History;
 use oriolewall::query::JobStatus;
 use oriolewall::refusal::{Cause, PATIENCE};
 use oriolewall::rpc::{Call, PartitionId, Reply};
@@ -48,6 +49,9 @@
 #[derive(Clone, Debug)]
 struct Target {
     queue: Arc<Queue>,
+    /// Pools that queues have been assigned to, as of the configuration by which the request was
+    /// routed.
+    history: Arc<History>,
     /// The caller's team; empty for a caller without a known key.
     team: TeamId,
     /// Time by which the response has to be sent.
@@ -121,6 +125,7 @@
         .map_or(DEFAULT_DEADLINE, Duration::from_millis);
     Ok(Target {
         queue: queue.clone(),
+        history: catalog.history.clone(),
         team,
         deadline: Instant::now() + deadline.saturating_sub(RESPONSE_MARGIN),
     })
@@ -158,9 +163,8 @@
     id.len() == 16 && id.bytes().all(|it| it.is_ascii_hexdigit())
 }
 
-/// Stores a submission, unless a former pool of the queue already has the job. While the owner
-/// of a former pool cannot say so, the submission is stored for that pool; its next owner
-/// either has the job or hands the submission on.
+/// Stores a submission for the pool that the queue uses, whose owner decides whether the job is
+/// new.
 async fn submit_job(node: &Arc<Node>, request: Request<Incoming>, target: &Target, id: &JobKey) -> HttpResponse {
     let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
     let Ok(body) = body else {
@@ -170,17 +174,14 @@
         Ok(spec) => spec,
         Err(err) => return error_response(StatusCode::BAD_REQUEST, &err.to_string()),
     };
-    let pool = match find_pool(node, target, id).await {
-        Destination::Store(pool) => pool,
-        Destination::Accepted(status) => return server::json_response(StatusCode::OK, caller::status_body(status)),
-    };
-    let part = node.partition_of(&pool);
+    let part = node.partition_of(&target.queue.pool);
     let request = job_record::Request::Submit(Submission {
         queue: target.queue.name.clone(),
-        pool,
+        pool: target.queue.pool.clone(),
         team: target.team.clone(),
         received_ms: clock::now().wall_ms(),
         spec: Arc::new(spec),
+        origin: target.history.origin(&target.queue),
     });
     let (_, value) = request_log::encode(id, &request);
     if MAX_RECORD_BYTES < value.len() {
@@ -193,44 +194,9 @@
     }
 }
 
-/// Where a submission goes.
-#[derive(Clone, Debug)]
-enum Destination {
-    /// It is stored for this pool.
-    Store(PoolId),
-    /// The job was accepted before and has this state.
-    Accepted(JobStatus),
-}
-
-/// Finds the pool to store a submission for: the first former pool of the queue whose owner may
-/// have the job, or else the current one.
-async fn find_pool(node: &Arc<Node>, target: &Target, id: &JobKey) -> Destination {
-    let queue = &target.queue;
-    for pool in &queue.former_pools {
-        let part = node.partition_of(pool);
-        // One owner recognizes repeated submissions for all pools of its partition.
-        if part == node.partition_of(&queue.pool) {
-            continue;
-        }
-        let call = Call::FormerStatus {
-            part,
-            id: id.clone(),
-            team: target.visible_team(),
-            queue: queue.name.clone(),
-            pool: pool.clone(),
-        };
-        match peer::call(node, part, call).await {
-            Reply::Status(Some(status)) => return Destination::Accepted(status),
-            Reply::Status(None) => {}
-            _ => return Destination::Store(pool.clone()),
-        }
-    }
-    Destination::Store(queue.pool.clone())
-}
-
 /// Stores a cancellation in the partition that has the job, or in all that may have it.
 async fn cancel_job(node: &Arc<Node>, target: &Target, id: &JobKey) -> HttpResponse {
-    let mut candidates = candidate_pools(node, &target.queue);
+    let mut candidates = candidate_pools(node, target);
     match locate_job(node, target, id).await {
         JobLocation::Found(part, _) => {
             candidates.retain(|(it, _)| *it == part);
@@ -244,6 +210,7 @@
         JobLocation::NotFound | JobLocation::Unknown => {}
     }
     let at_ms = clock::now().wall_ms();
+    let origin = target.history.origin(&target.queue);
     let mut is_stored = false;
     for (part, pool) in candidates {
         let queue = &target.queue.name;
@@ -253,6 +220,7 @@
             addressee: pool.map(|pool| Addressee {
                 queue: queue.clone(),
                 pool,
+                origin: origin.clone(),
             }),
         };
         match store_request(node, part, id, request, target.deadline).await {
@@ -269,14 +237,13 @@
     server::json_response(StatusCode::OK, caller::status_body(JobStatus::Cancelled))
 }
 
-/// Partitions that may have a job of a queue, each with the last pool in it that the queue used:
-/// those of its current pool and of its former pools.
-fn candidate_pools(node: &Node, queue: &Queue) -> SmallVec<[(PartitionId, Option<PoolId>); 4]> {
+/// Partitions that may have a job of a queue, each with the last pool in it that the queue used.
+fn candidate_pools(node: &Node, target: &Target) -> SmallVec<[(PartitionId, Option<PoolId>); 4]> {
     let mut candidates = SmallVec::<[(PartitionId, Option<PoolId>); 4]>::new();
-    for pool in std::iter::once(&queue.pool).chain(queue.former_pools.iter().rev()) {
-        let part = node.partition_of(pool);
+    for pool in target.history.pools(&target.queue) {
+        let part = node.partition_of(&pool);
         if candidates.iter().all(|(it, _)| *it != part) {
-            candidates.push((part, Some(pool.clone())));
+            candidates.push((part, Some(pool)));
         }
     }
     candidates.sort_unstable();
@@ -354,7 +321,10 @@
 async fn locate_job(node: &Arc<Node>, target: &Target, id: &JobKey) -> JobLocation {
     let catalog = node.catalog();
     let likely_part = node.partition_of(&target.queue.pool);
-    let mut parts: Vec<PartitionId> = catalog.pools.keys().map(|it| node.partition_of(it)).collect();
+    // A pool may have been removed since the job was submitted.
+    let pools = target.history.pools(&target.queue);
+    let pools = catalog.pools.keys().chain(&pools);
+    let mut parts: Vec<PartitionId> = pools.map(|it| node.partition_of(it)).collect();
     parts.sort_unstable_by_key(|it| (*it != likely_part, *it));
     parts.dedup();
     let mut unknown = false;
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) takeover_seconds: Histogram,
     /// Orders to workers by order and answer.
     pub(crate) orders: IntCounterVec,
+    /// Questions to owners of other pools whether a job is new, by answer.
+    pub(crate) inquiries: IntCounterVec,
     /// Ended runs by outcome.
     pub(crate) run_ends: IntCounterVec,
     /// Runs that workers list and the owner did not expect there.
@@ -93,6 +95,11 @@
             log_resends: counter_vec("oriole_log_resends_total", "Overdue calls to the log", &["outcome"]),
             takeover_seconds: histogram("oriole_takeover_seconds", "Time of a takeover"),
             orders: counter_vec("oriole_orders_total", "Orders to workers", &["order", "answer"]),
+            inquiries: counter_vec(
+                "oriole_inquiries_total",
+                "Questions to owners of other pools whether a job is new",
+                &["answer"],
+            ),
             run_ends: counter_vec("oriole_run_ends_total", "Ends of runs", &["how"]),
             unexpected_runs: counter(
                 "oriole_unexpected_runs_total",
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -92,6 +92,10 @@
     pub(crate) configuration: ArcSwap<Configuration>,
     /// Number of changes of `configuration`; owners subscribe to it.
     pub(crate) catalog_changes: watch::Sender<u64>,
+    /// Offset up to which operators' records have been read and applied.
+    pub(crate) operator_records_read: watch::Sender<u64>,
+    /// Requests a new read of operators' records, as the one that waits may have been lost.
+    pub(crate) refresh_configuration: tokio::sync::Notify,
     /// Workers that the platform lists. Kept current only while this instance owns a partition.
     pub(crate) workers: ArcSwap<HashMap<InstanceId, ListedWorker>>,
     /// Number of changes of `workers`; owners subscribe to it.
@@ -141,6 +145,8 @@
             metrics,
             configuration: ArcSwap::from_pointee(Configuration::Unread),
             catalog_changes: watch::Sender::new(0),
+            operator_records_read: watch::Sender::new(0),
+            refresh_configuration: tokio::sync::Notify::new(),
             workers: ArcSwap::from_pointee(HashMap::new()),
             worker_list_changes: watch::Sender::new(0),
             worker_list_read_at: watch::Sender::new(Duration::ZERO),
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -13,6 +13,7 @@
 use oriole_platform::worker::WorkerClient;
 use oriolewall::advice::StepKey;
 use oriolewall::id::{InstanceId, PoolId, TeamId};
+use oriolewall::inquiry::Holding;
 use oriolewall::job_record::{JobKey, QueueId};
 use oriolewall::order::{ContactId, OrderOutcome, WorkerStatus};
 use oriolewall::query::JobStatus;
@@ -84,9 +85,19 @@
     GrantsReceived(Duration, HashMap<TeamId, Resources>),
     /// Query for the state of a job by a team; `None` for a public queue.
     StatusQuery(JobKey, Option<TeamId>, oneshot::Sender<Reply>),
-    /// The same before the job is stored for another pool: the job's queue has moved from this
-    /// one.
-    FormerStatusQuery(JobKey, Option<TeamId>, (QueueId, PoolId), oneshot::Sender<Reply>),
+    /// Query of an owner that knows a version of the configuration whether jobs are here.
+    HoldingsQuery(u64, Vec<JobKey>, oneshot::Sender<Reply>),
+    /// The owner of a pool answered whether it has jobs; no answer if the call failed.
+    HoldingsReceived {
+        /// The pool.
+        pool: PoolId,
+        /// Version of the configuration that its owner had to know.
+        version: u64,
+        /// The jobs.
+        jobs: Vec<JobKey>,
+        /// The answer for each of them.
+        answer: Option<Vec<Holding>>,
+    },
     /// Query for the number of waiting jobs of a queue.
     PendingQuery(QueueId, oneshot::Sender<Reply>),
     /// Query for the CPU that finite tasks use on each worker.
@@ -268,9 +279,16 @@
                 self.scheduler.set_grants(grants);
             }
             Event::StatusQuery(id, team, reply) => send_reply(reply, self.status(&id, team.as_ref())),
-            Event::FormerStatusQuery(id, team, (queue, pool), reply) => {
-                send_reply(reply, self.scheduler.former_status(now, &id, team.as_ref(), &queue, &pool));
+            Event::HoldingsQuery(version, jobs, reply) => {
+                let holdings = self.scheduler.holdings(now, version, &jobs);
+                send_reply(reply, holdings.map_or(Reply::Unavailable, Reply::Holdings));
             }
+            Event::HoldingsReceived {
+                pool,
+                version,
+                jobs,
+                answer,
+            } => self.scheduler.holdings_received(now, &pool, version, jobs, answer),
             Event::HandedOn(id) => self.scheduler.hand_on_finished(&id),
             Event::PendingQuery(queue, reply) => send_reply(reply, Reply::Pending(self.scheduler.queued_jobs(&queue))),
             Event::LoadsQuery(reply) => send_reply(reply, Reply::Loads(self.scheduler.finite_task_cpu())),
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -73,13 +73,7 @@
 async fn handle_call(node: &Arc<Node>, call: Call) -> Reply {
     match call {
         Call::Status { part, id, team } => call_local(node, part, |reply| Event::StatusQuery(id, team, reply)).await,
-        Call::FormerStatus {
-            part,
-            id,
-            team,
-            queue,
-            pool,
-        } => call_local(node, part, |reply| Event::FormerStatusQuery(id, team, (queue, pool), reply)).await,
+        Call::Inquire { part, version, jobs } => call_local(node, part, |reply| Event::HoldingsQuery(version, jobs, reply)).await,
         Call::Pending { part, queue } => call_local(node, part, |reply| Event::PendingQuery(queue, reply)).await,
         Call::Vacate { part, workers, wait } => call_local(node, part, |reply| Event::VacateRequest(workers, wait, reply)).await,
         Call::Loads { part } => call_local(node, part, Event::LoadsQuery).await,
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriole_platform::log::{AppendPosition, Error, JOBS, Partition, REQUESTS, ReadResult};
+use oriole_platform::log::{AppendPosition, Error, JOBS, OPERATORS, Partition, REQUESTS, ReadResult};
 use oriolewall::catalog::Catalog;
 use oriolewall::id::InstanceId;
 use oriolewall::job_record::{self, JobKey, JobRecord, Request};
@@ -66,6 +66,8 @@
         renewal_window: RENEWAL_WINDOW,
         stop_time: node.bounds.load().stop_max,
     };
+    // An earlier owner may have answered other owners by a later configuration.
+    let catalog = read_latest_catalog(node, part, epoch).await?.unwrap_or(catalog);
     let mut scheduler = Scheduler::new(limits, now, confirmed_at).with_token_form(node.settings.token_form);
     // Requests of queues that have moved to another pool are handed on.
     scheduler.set_catalog(catalog);
@@ -144,6 +146,32 @@
     }
 }
 
+/// Waits until this instance has read the operators' records that the log holds now, and returns
+/// the configuration in effect, if any. Returns `None` if this instance no longer owns the partition.
+async fn read_latest_catalog(node: &Node, part: PartitionId, epoch: u64) -> Option<Option<Arc<Catalog>>> {
+    let mut read_up_to = node.operator_records_read.subscribe();
+    loop {
+        let from = *read_up_to.borrow_and_update();
+        let read = node.log.read(OPERATORS, from, Duration::ZERO, CALL_TIMEOUT).await;
+        let is_behind = match read {
+            Ok(batch) if batch.next <= *read_up_to.borrow() => return Some(node.configuration.load().catalog().ok()),
+            // The other read finds out as well that the records have expired.
+            Ok(_) | Err(Error::Expired { .. }) => true,
+            Err(err) => {
+                watch::report_log_error(node, "configuration", &err);
+                false
+            }
+        };
+        if !still_owned(node, part, epoch) {
+            return None;
+        }
+        let is_late = tokio::time::timeout(RETRY_DELAY, read_up_to.changed()).await.is_err();
+        if is_behind && is_late {
+            node.refresh_configuration.notify_one();
+        }
+    }
+}
+
 /// Returns whether this instance still owns a partition under an epoch.
 pub(crate) fn still_owned(node: &Node, part: PartitionId, epoch: u64) -> bool {
     node.owned_partition(part).is_some_and(|it| it.epoch == epoch)
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -36,8 +36,11 @@
     let mut backoff = BACKOFF.0;
     loop {
         let result = match next {
-            None => read_configuration(&node).await,
-            Some(from) => node.log.read(OPERATORS, from, CONFIG_WAIT, CALL_TIMEOUT).await,
+            None => read_configuration(&node, &mut config).await,
+            Some(from) => tokio::select! {
+                result = node.log.read(OPERATORS, from, CONFIG_WAIT, CALL_TIMEOUT) => result,
+                () = node.refresh_configuration.notified() => node.log.read(OPERATORS, from, Duration::ZERO, CALL_TIMEOUT).await,
+            },
         };
         match result {
             Ok(batch) => {
@@ -53,6 +56,7 @@
                 } else if !matches!(**node.configuration.load(), Configuration::Known(_)) {
                     store_configuration(&node, Configuration::Known(config.catalog()));
                 }
+                node.operator_records_read.send_replace(batch.next);
             }
             Err(Error::Expired { .. }) if next.is_some() => next = None,
             Err(err) => {
@@ -137,12 +141,15 @@
 
 /// Reads the newest operators' records, and before them the last records that the log retains:
 /// earlier configurations tell from which pools queues have moved.
-async fn read_configuration(node: &Node) -> Result<ReadResult, Error> {
+async fn read_configuration(node: &Node, config: &mut OperatorConfig) -> Result<ReadResult, Error> {
     let mut newest = read_newest(node, OPERATORS).await?;
     if matches!(**node.configuration.load(), Configuration::Unread) {
         store_configuration(node, Configuration::WithoutHistory);
     }
-    let mut history = read_history(node, newest.next).await?;
+    let (first, mut history) = read_history(node, newest.next).await?;
+    if *node.operator_records_read.borrow() < first {
+        config.mark_incomplete();
+    }
     // The newest records of the other keys are complete by themselves.
     history.retain(config::is_configuration);
     newest.entries.splice(0..0, history);
@@ -150,9 +157,11 @@
 }
 
 /// Reads the last operators' records before an offset, from the first one that is retained on.
-async fn read_history(node: &Node, end: u64) -> Result<Vec<Entry>, Error> {
+/// Returns them with the offset of the first one.
+async fn read_history(node: &Node, end: u64) -> Result<(u64, Vec<Entry>), Error> {
     let mut entries = Vec::new();
     let mut from = end.saturating_sub(HISTORY_RECORDS);
+    let mut first_read = from;
     while from < end {
         match node.log.read(OPERATORS, from, Duration::ZERO, CALL_TIMEOUT).await {
             Ok(batch) if batch.next == from => break,
@@ -160,11 +169,11 @@
                 from = batch.next;
                 entries.extend(batch.entries);
             }
-            Err(Error::Expired { first }) if from < first => from = first,
+            Err(Error::Expired { first }) if from < first => (from, first_read) = (first, first),
             Err(err) => return Err(err),
         }
     }
-    Ok(entries)
+    Ok((first_read, entries))
 }
 
 async fn read_newest(node: &Node, part: Partition) -> Result<ReadResult, Error> {
--- a/fleet/tests/test_moved_queue.rs
+++ b/fleet/tests/test_moved_queue.rs
@@ -1,5 +1,7 @@
-//! Where an instance stores submissions of a queue that has moved to another pool.
+//! Where an instance stores requests for a queue that has moved to another pool, and when an owner
+//! admits its jobs.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -7,7 +9,8 @@
 use std::time::Duration;
 
 use oriole_fleet::settings::Settings;
-use oriolewall::rpc::Reply;
+use oriolewall::inquiry::Holding;
+use oriolewall::rpc::{Call, Reply};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -24,6 +27,10 @@
     owners: Mutex<Vec<(u32, String)>>,
     /// Partitions to which requests were appended.
     appends: Mutex<Vec<u32>>,
+    /// Appended requests by partition, as they are encoded.
+    requests: Mutex<BTreeMap<u32, Vec<Vec<u8>>>>,
+    /// Bodies of the appends by owners.
+    commits: Mutex<Vec<Vec<u8>>>,
     /// Whether reads of earlier configurations fail.
     fails_history: AtomicBool,
     /// Partitions that any member of the group gets.
@@ -33,7 +40,7 @@
 }
 
 impl FakeLog {
-    fn answer(&self, target: &str) -> Vec<u8> {
+    fn answer(&self, target: &str, request_body: &[u8]) -> Vec<u8> {
         let parameter = |name: &str| {
             let (_, rest) = target.split_once(&format!("{name}="))?;
             Some(rest.split(['&', ' ']).next().unwrap().to_owned())
@@ -57,6 +64,12 @@
             }
             let from: usize = parameter("from").unwrap().parse().unwrap();
             let mut body = vec![0; 16];
+            if parameter("topic").as_deref() == Some("keyed.requests") {
+                let requests = self.requests.lock().unwrap();
+                let records = requests.get(&parameter("part").unwrap().parse().unwrap());
+                body.extend(records.into_iter().flatten().skip(from).flatten());
+                return body;
+            }
             for config in configs.iter().skip(from).filter(|_| is_config) {
                 let length = 1 + "config".len() + config.len();
                 body.extend((length as u32).to_be_bytes());
@@ -72,10 +85,18 @@
             return serde_json::to_vec(&rows).unwrap();
         }
         if target.contains("/log-append") && parameter("topic").as_deref() == Some("keyed.requests") {
-            self.appends.lock().unwrap().push(parameter("part").unwrap().parse().unwrap());
+            let part = parameter("part").unwrap().parse().unwrap();
+            self.appends.lock().unwrap().push(part);
+            let mut rest = request_body;
+            while let Some((length, _)) = rest.split_first_chunk() {
+                let (record, following) = rest.split_at(4 + u32::from_be_bytes(*length) as usize);
+                self.requests.lock().unwrap().entry(part).or_default().push(record.to_vec());
+                rest = following;
+            }
         }
         if target.contains("/log-append") && parameter("topic").as_deref() == Some("keyed.jobs") {
             self.owner_appends.fetch_add(1, Ordering::SeqCst);
+            self.commits.lock().unwrap().push(request_body.to_vec());
         }
         let assigned = self.assigned.lock().unwrap();
         let rows: Vec<_> = assigned.iter().map(|part| ("keyed.jobs", part, 0)).collect();
@@ -87,6 +108,12 @@
         std::mem::take(&mut *self.appends.lock().unwrap())
     }
 
+    /// Whether an owner has recorded a job.
+    fn has_recorded(&self, id: &str) -> bool {
+        let commits = self.commits.lock().unwrap();
+        commits.iter().any(|it| it.windows(id.len()).any(|part| part == id.as_bytes()))
+    }
+
     /// Returns the partition of the only append since the last call.
     fn take_append(&self) -> u32 {
         let appends = self.take_appends();
@@ -234,41 +261,75 @@
     let log = Arc::new(FakeLog::default());
     log.configs.lock().unwrap().push(config(1, "pool"));
     let server = log.clone();
-    let addr = serve(move |(target, _)| server.answer(&target)).await;
+    let addr = serve(move |(target, body)| server.answer(&target, &body)).await;
     (log, addr)
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_job_is_not_stored_for_the_next_pool_while_the_former_owner_is_silent() {
-    // The instance stored the submission for the new pool. If the former pool had the job
-    // already, both owners ran it.
-    let (log, log_addr) = start_log().await;
+/// Moves the queue while an instance owns all partitions but that of the former pool, submits a job
+/// to it there and cancels it. Returns the partition of the former pool.
+async fn submit_after_move(log: &FakeLog, log_addr: SocketAddr, id: &str) -> u32 {
     let addr = start_instance(log_addr).await;
     wait_for_version(addr, 1).await;
-    let former = submit(&log, addr, "00000000000000a1").await;
+    let former = submit(log, addr, "00000000000000a1").await;
+    log.assigned.lock().unwrap().extend((0..16).filter(|it| *it != former));
     log.configs.lock().unwrap().push(config(2, "next"));
     wait_for_version(addr, 2).await;
-    assert_eq!(submit(&log, addr, "00000000000000a2").await, former);
+    assert_ne!(submit(log, addr, id).await, former);
+    // A job that is admitted is recorded as it is cancelled.
+    assert_eq!(send(addr, "DELETE", &format!("/queue/{id}"), "").await, 200);
+    former
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_job_is_stored_for_the_next_pool_if_the_former_owner_does_not_have_it() {
-    let (log, log_addr) = start_log().await;
-    let addr = start_instance(log_addr).await;
-    wait_for_version(addr, 1).await;
-    let former = submit(&log, addr, "00000000000000b1").await;
-    let owner = serve(|_| rmp_serde::to_vec(&Reply::Status(None)).unwrap()).await;
-    log.owners.lock().unwrap().push((former, format!("{owner}@1")));
-    log.configs.lock().unwrap().push(config(2, "next"));
-    wait_for_version(addr, 2).await;
-    // The instance reads the owners again after the first call that found none.
+/// Starts an owner of a partition in another instance that answers inquiries.
+async fn start_owner(log: &FakeLog, part: u32, holding: Holding) {
+    let owner = serve(move |(_, body)| {
+        let reply = match rmp_serde::from_slice::<Call>(&body) {
+            Ok(Call::Inquire { jobs, .. }) => Reply::Holdings(vec![holding; jobs.len()]),
+            _ => Reply::Unavailable,
+        };
+        rmp_serde::to_vec(&reply).unwrap()
+    })
+    .await;
+    log.owners.lock().unwrap().push((part, format!("{owner}@1")));
+}
+
+/// Returns whether a condition holds within some seconds.
+async fn soon<F>(condition: F) -> bool
+where
+    F: Fn() -> bool,
+{
     for _ in 0..100 {
-        if submit(&log, addr, "00000000000000b2").await != former {
-            return;
+        if condition() {
+            return true;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    panic!("the job is stored for the former pool");
+    false
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_of_a_moved_queue_is_not_admitted_while_the_former_owner_is_silent() {
+    // If the former pool had the job already, both owners ran it.
+    let (log, log_addr) = start_log().await;
+    let id = "00000000000000a2";
+    let former = submit_after_move(&log, log_addr, id).await;
+    assert!(soon(|| log.owner_appends.load(Ordering::SeqCst) != 0).await);
+    tokio::time::sleep(Duration::from_millis(1000)).await;
+    assert!(!log.has_recorded(id));
+    start_owner(&log, former, Holding::NotHeld).await;
+    assert!(soon(|| log.has_recorded(id)).await, "the job is new, and is not admitted");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_the_former_owner_has_is_left_to_it() {
+    let (log, log_addr) = start_log().await;
+    let id = "00000000000000b2";
+    let former = submit_after_move(&log, log_addr, id).await;
+    log.take_appends();
+    start_owner(&log, former, Holding::Held).await;
+    // The cancel follows.
+    assert!(soon(|| log.appends.lock().unwrap().contains(&former)).await);
+    assert!(!log.has_recorded(id));
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -281,7 +342,9 @@
     log.configs.lock().unwrap().push(config(2, "next"));
     let later = start_instance(log_addr).await;
     wait_for_version(later, 2).await;
-    assert_eq!(submit(&log, later, "00000000000000c2").await, former);
+    assert_eq!(send(later, "DELETE", "/queue/00000000000000c1", "").await, 200);
+    let appends = log.take_appends();
+    assert!(appends.contains(&former), "{appends:?}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -327,7 +390,8 @@
         .await
         .unwrap();
     assert_eq!(send(readiness, "GET", "/readyz", "").await, 200);
-    assert_eq!(submit(&log, later, "00000000000000e1").await, former);
+    assert_eq!(send(later, "DELETE", "/queue/00000000000000e1", "").await, 200);
+    assert!(log.take_appends().contains(&former));
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/fleet/tests/test_quarantine.rs
+++ b/fleet/tests/test_quarantine.rs
@@ -38,6 +38,7 @@
             steps: vec![step],
             ..JobSpec::default()
         }),
+        origin: None,
     });
     rmp_serde::to_vec(&request).unwrap()
 }
--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -30,6 +30,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rustix::process::Signal;
 use tokio::task::JoinSet;
 
 use crate::faults::Injector;
@@ -248,7 +249,6 @@
 }
 
 #[test]
-#[ignore = "issue 17, see KNOWN-RED.txt"]
 fn promises_hold_when_a_queue_moves_there_and_back() {
     check_seeds(&[347, 6014, 6043], Faults::QueuesMove);
 }
@@ -268,3 +268,30 @@
     }
     scenario.check_that_each_task_ran_once(JOB).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_runs_once_if_its_queue_moves_there_and_back_while_an_instance_is_paused() {
+    // TWICE: the instance stored the call by the configuration that it had before the pause, and
+    // the first pool did not ask the one between.
+    let mut scenario = Scenario::start("there-and-back").await;
+    let owners = [scenario.owner_of(0).await, scenario.owner_of(1).await];
+    let paused = scenario.instances().find(|it| !owners.contains(it)).expect("two own no pool");
+    let other = scenario.instances().find(|it| *it != paused).expect("there are several");
+    scenario.signal(paused, Signal::STOP);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let late_call = scenario.submit(paused, 0, JOB);
+    let moves = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        scenario.configure(2, "q-0", 1);
+        tokio::time::sleep(CONFIG_TIME).await;
+        let status = scenario.submit(other, 0, JOB).await;
+        tokio::time::sleep(Duration::from_millis(1000)).await;
+        scenario.configure(3, "q-0", 0);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        status
+    };
+    let (unanswered, accepted) = tokio::join!(late_call, moves);
+    assert_eq!((unanswered, accepted), (0, 200));
+    scenario.signal(paused, Signal::CONT);
+    scenario.check_that_each_task_ran_once(JOB).await;
+}
--- a/fleet/tests/test_soak/scenario.rs
+++ b/fleet/tests/test_soak/scenario.rs
@@ -7,6 +7,7 @@
 use hyper::Method;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rustix::process::Signal;
 use serde_json::json;
 
 use crate::checker::{Job, Step};
@@ -83,6 +84,26 @@
         status
     }
 
+    /// Runs a short job of the queue that belongs to a pool for good, and returns the instance that
+    /// admitted it.
+    pub(crate) async fn owner_of(&self, pool: usize) -> usize {
+        let id = format!("{:016x}", 0xa0 + pool);
+        assert_eq!(self.submit(0, 1 + pool, &id).await, 200);
+        let deadline = self.site.now() + PATIENCE;
+        loop {
+            let has_admitted = |it: &Instance| it.lines_with(&id).iter().any(|line| line.contains("\"admitted\""));
+            if let Some(owner) = self.fleet.iter().position(has_admitted) {
+                return owner;
+            }
+            assert!(self.site.now() < deadline, "no owner admits a job of pool {pool}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub(crate) fn signal(&mut self, instance: usize, signal: Signal) {
+        self.fleet[instance].signal(signal);
+    }
+
     /// Waits until the tasks of a job have ended that started by now, and checks that each has run
     /// once.
     pub(crate) async fn check_that_each_task_ran_once(&self, id: &str) {
--- a/lib/src/catalog.rs
+++ b/lib/src/catalog.rs
@@ -8,6 +8,7 @@
 
 use crate::id::{InstanceId, PoolId, TeamId, ZoneId};
 use crate::job_record::QueueId;
+use crate::pool_history::{Address, History};
 use crate::resources::Resources;
 
 /// One version of the configuration, with the evacuated zones and waves that are recorded apart
@@ -28,6 +29,8 @@
     pub evacuated_zones: BTreeSet<ZoneId>,
     /// Maintenance waves, by number.
     pub waves: BTreeMap<u64, Wave>,
+    /// Pools that the queues have been assigned to.
+    pub history: Arc<History>,
 }
 
 /// A queue that callers submit to.
@@ -41,9 +44,6 @@
     pub path_prefix: String,
     /// Pool whose workers run its jobs.
     pub pool: PoolId,
-    /// Pools that the queue was assigned to before, as far as this process knows, the first one
-    /// first. Jobs that were accepted then are still there.
-    pub former_pools: Vec<PoolId>,
     /// Whether requests need no API key.
     pub is_public: bool,
     /// Priority of its jobs; lower numbers go first.
@@ -86,11 +86,9 @@
 }
 
 impl Queue {
-    /// Returns the pool that a submission for `pool` is handed on to: the next one of the
-    /// queue's former pools, or its current one. `None` if `pool` is not a former pool.
-    pub fn successor_of(&self, pool: &PoolId) -> Option<&PoolId> {
-        let position = self.former_pools.iter().position(|it| it == pool)?;
-        Some(self.former_pools.get(position + 1).unwrap_or(&self.pool))
+    /// Returns the address under which callers reach the queue.
+    pub fn address(&self) -> Address {
+        Address::from(format!("{}{}", self.host, self.path_prefix))
     }
 }
 
--- a/lib/src/commit.rs
+++ b/lib/src/commit.rs
@@ -216,6 +216,11 @@
             return;
         }
         self.last_cleanup = now.mono;
+        // A job that was left to another pool may have come back since.
+        let jobs = &self.jobs;
+        let inquiries = &self.inquiries;
+        self.processed_submissions
+            .retain(|id| !inquiries.contains_key(id) && jobs.get(id).is_none_or(|it| it.is_logged));
         if !self.processed_submissions.is_empty() || !self.processed_cancels.is_empty() {
             self.actions.push(Action::RemoveRequests {
                 submissions: std::mem::take(&mut self.processed_submissions),
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::id::{InstanceId, TeamId};
+use crate::id::{InstanceId, PoolId, TeamId};
 use crate::job_record::{JobKey, QueueId};
 use crate::order::Refusal;
 
@@ -131,6 +131,13 @@
         /// Worker that is being emptied.
         worker: InstanceId,
     },
+    /// A submitted job was not admitted, as another pool has it.
+    HeldElsewhere {
+        /// Job that was submitted again.
+        job: JobKey,
+        /// Pool that has it.
+        pool: PoolId,
+    },
     /// A worker stopped answering, or answered again.
     Contact {
         /// Worker whose contact changed.
--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -1,13 +1,14 @@
 //! The state of a job as stored in the log: its specification and the progress of each task.
 //!
-//! The types are encoded by position, so fields and variants keep their order. Only cancels are
-//! encoded by name.
+//! The types are encoded by position, so fields and variants keep their order. Only cancels, and
+//! submissions with an [`Origin`], are encoded by name.
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::id::{InstanceId, PoolId, TeamId};
+use crate::pool_history::Address;
 use crate::resources::Resources;
 use crate::spec::{JobSpec, Step};
 
@@ -61,12 +62,16 @@
     pub queue: QueueId,
     /// The queue's pool, or one of its former pools.
     pub pool: PoolId,
+    /// How the request was routed, as in a [`Submission`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<Origin>,
 }
 
 impl Request {
     /// Encodes a request as the value of its record.
     pub fn to_bytes(&self) -> Vec<u8> {
         let bytes = match self {
+            Request::Submit(submission) if submission.origin.is_some() => return submission.to_named_bytes(),
             Request::Submit(_) => rmp_serde::to_vec(self),
             // Earlier builds skip a field by its name but do not accept one by its position.
             Request::Cancel { .. } => rmp_serde::to_vec_named(self),
@@ -115,6 +120,57 @@
     pub received_ms: u64,
     /// What the job runs.
     pub spec: Arc<JobSpec>,
+    /// How the submission was routed. `None` if its queue never had another address or pool as far
+    /// as the instance knew, in records of earlier builds, and once the job is admitted. It is then
+    /// taken for one to the first address of the queue's name.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<Origin>,
+}
+
+/// The address that a request was sent to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Origin {
+    /// Address of the queue.
+    pub address: Address,
+    /// Version of the configuration that assigned the address to the pool of the request. An owner
+    /// that does not know it waits for it.
+    pub version: u64,
+}
+
+impl Submission {
+    /// Returns where requests for the job are addressed to.
+    pub(crate) fn into_addressee(self) -> Addressee {
+        Addressee {
+            queue: self.queue,
+            pool: self.pool,
+            origin: self.origin,
+        }
+    }
+
+    /// Encodes a request that submits the job. Its fields are named, for earlier builds, those of
+    /// the specification are not.
+    fn to_named_bytes(&self) -> Vec<u8> {
+        fn encode<T: Serialize + ?Sized>(value: &T) -> Vec<u8> {
+            rmp_serde::to_vec(value).expect("requests can be encoded")
+        }
+        let fields = [
+            ("queue", encode(&self.queue)),
+            ("pool", encode(&self.pool)),
+            ("team", encode(&self.team)),
+            ("received_ms", encode(&self.received_ms)),
+            ("spec", encode(&self.spec)),
+            ("origin", encode(&self.origin)),
+        ];
+        // Headers of maps with one entry and with one for each field.
+        let mut bytes = vec![0x81];
+        bytes.extend(encode("Submit"));
+        bytes.push(0x80 | fields.len() as u8);
+        for (name, value) in fields {
+            bytes.extend(encode(name));
+            bytes.extend(value);
+        }
+        bytes
+    }
 }
 
 /// Overall state of a job.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -37,6 +37,8 @@
 //! - [`spec`]: specification of a job with steps and tasks, as submitted by a caller.
 //! - [`job_record`]: state of a job as stored in the log.
 //! - [`catalog`]: the operators' configuration in effect.
+//! - [`pool_history`]: pools that queues have been assigned to.
+//! - [`inquiry`]: whether a job is new to all pools that its queue has used.
 //! - [`worker`]: what the owner of a pool knows about each worker.
 //! - [`scheduler`]: state machine of the owner of a pool.
 //! - [`order`]: actions of the owner of a pool, and what workers answer to its orders.
@@ -82,6 +84,7 @@
 pub mod forecast;
 pub mod health;
 pub mod id;
+pub mod inquiry;
 pub mod job;
 pub mod job_record;
 pub mod key;
@@ -96,6 +99,7 @@
 mod peer;
 mod placement;
 pub mod platform;
+pub mod pool_history;
 pub mod quarantine;
 pub mod query;
 pub mod queue;
--- a/lib/src/moved_queue.rs
+++ b/lib/src/moved_queue.rs
@@ -1,17 +1,16 @@
-//! Queues that have moved to another pool.
+//! Requests for jobs of queues that have moved to another pool.
 //!
-//! A submission can arrive twice, once before the move and once after it, and the log may
-//! carry out an append seconds late. So that two owners never run the same job, the owner of
-//! a former pool hands submissions that it reads after the move on to the next pool, whose
-//! owner recognizes repeated ones. Jobs that it admitted before the move stay with it. Cancels
-//! of other jobs follow, also if an earlier owner handed the submission on.
+//! The owner of a former pool hands submissions that it reads after the move on to the pool that
+//! the queue uses now, whose owner decides whether the job is new (see [`inquiry`](crate::inquiry)).
+//! Jobs that it admitted before the move stay with it. Cancels of other jobs follow, also if an
+//! earlier owner handed the submission on.
 
-use crate::clock::Now;
 use crate::id::{PoolId, TeamId};
-use crate::job_record::{Addressee, JobKey, QueueId, Request, Submission};
+use crate::inquiry::Place;
+use crate::job_record::{Addressee, JobKey, Origin, Request, Submission};
 use crate::order::Action;
+use crate::pool_history::{Address, Assignment};
 use crate::query::JobStatus;
-use crate::rpc::Reply;
 use crate::scheduler::{Scheduler, is_visible};
 
 /// A request to cancel a job, as read from the log.
@@ -23,71 +22,74 @@
     pub(crate) addressee: Option<Addressee>,
 }
 
+impl Cancel {
+    /// Returns the request that callers of a team made, for another addressee.
+    pub(crate) fn into_request(self, team: Option<TeamId>, addressee: Option<Addressee>) -> Request {
+        Request::Cancel {
+            at_ms: self.at_ms,
+            team,
+            addressee,
+        }
+    }
+}
+
 /// A job whose submission was handed on to another pool.
 #[derive(Debug)]
 pub(crate) struct HandedOn {
-    pool: PoolId,
+    addressee: Addressee,
     team: TeamId,
     /// Number of appends of its requests that have not finished.
     in_flight: usize,
 }
 
 impl Scheduler {
-    /// Pool that a submission is to be handed on to, if its queue has moved.
-    pub(crate) fn successor_of(&self, submission: &Submission) -> Option<PoolId> {
-        let queue = self.catalog.queues.get(&submission.queue)?;
-        queue.successor_of(&submission.pool).cloned()
-    }
-
-    /// Hands a submission on to a pool, with the cancels of the job that were read before it.
-    pub(crate) fn hand_on(&mut self, id: JobKey, mut submission: Submission, pool: PoolId) {
-        submission.pool = pool.clone();
-        let addressee = Addressee {
-            queue: submission.queue.clone(),
-            pool: pool.clone(),
-        };
+    /// Hands a submission on to the pool that its address is assigned to, with the cancels of the
+    /// job that were read before it.
+    pub(crate) fn hand_on(&mut self, id: JobKey, mut submission: Submission, address: Address, assignment: Assignment) {
+        let addressee = into_addressee(address, assignment);
+        submission.queue = addressee.queue.clone();
+        submission.pool = addressee.pool.clone();
+        submission.origin = addressee.origin.clone();
         let handed_on = HandedOn {
-            pool: pool.clone(),
+            addressee: addressee.clone(),
             team: submission.team.clone(),
             in_flight: 0,
         };
-        self.handed_on.entry(id.clone()).or_insert(handed_on).pool = pool;
+        self.handed_on.entry(id.clone()).or_insert(handed_on).addressee = addressee.clone();
         let mut requests = vec![Request::Submit(submission)];
         let cancels = self.read_cancels.remove(&id).unwrap_or_default();
-        requests.extend(cancels.into_iter().map(|(team, cancel)| Request::Cancel {
-            at_ms: cancel.at_ms,
-            team,
-            addressee: Some(addressee.clone()),
-        }));
-        self.append_for_successor(id, requests);
+        requests.extend(
+            cancels
+                .into_iter()
+                .map(|(team, cancel)| cancel.into_request(team, Some(addressee.clone()))),
+        );
+        self.append_for_successor(id, addressee.pool, requests);
     }
 
-    /// Hands on a cancel of a job that is not here, if the job was handed on or the cancel is for a
-    /// pool from which the queue has moved. An earlier owner may have handed the job on, so the
-    /// submission is not needed. Gives the cancel back if it stays here.
+    /// Hands on a cancel of a job that is not here, if the queue of the cancel has moved from the pool
+    /// that it was stored for, or, for one that does not tell its queue, if the job was handed on.
+    /// Gives the cancel back if it stays here, maybe until another pool answers that it has the job.
     pub(crate) fn hand_on_cancel(&mut self, id: &JobKey, team: Option<&TeamId>, cancel: Cancel) -> Result<(), Cancel> {
-        let handed_on = self.handed_on.get(id).map(|it| &it.pool);
-        let successor = || {
-            let addressee = cancel.addressee.as_ref()?;
-            self.catalog.queues.get(&addressee.queue)?.successor_of(&addressee.pool)
-        };
-        let Some(pool) = handed_on.or_else(successor).cloned() else {
+        if self.inquiries.contains_key(id) {
             return Err(cancel);
-        };
-        let addressee = cancel.addressee.map(|it| Addressee { pool: pool.clone(), ..it });
-        let requests = vec![Request::Cancel {
-            at_ms: cancel.at_ms,
-            team: team.cloned(),
-            addressee,
-        }];
-        match self.handed_on.contains_key(id) {
-            true => self.append_for_successor(id.clone(), requests),
-            false => self.actions.push(Action::HandOn {
-                id: id.clone(),
-                pool,
-                requests,
-            }),
         }
+        let next = match &cancel.addressee {
+            Some(Addressee { queue, pool, origin }) => match self.place_of_request(queue, pool, origin.as_ref()) {
+                Place::Elsewhere(address, assignment) => into_addressee(address, assignment),
+                Place::HereUnlessHeld { version, pools } => {
+                    self.inquire(id.clone(), None, version, pools);
+                    return Err(cancel);
+                }
+                Place::Here | Place::Unknown { .. } => return Err(cancel),
+            },
+            None => match self.handed_on.get(id) {
+                Some(handed_on) => handed_on.addressee.clone(),
+                None => return Err(cancel),
+            },
+        };
+        let pool = next.pool.clone();
+        let requests = vec![cancel.into_request(team.cloned(), Some(next))];
+        self.append_for_successor(id.clone(), pool, requests);
         Ok(())
     }
 
@@ -104,12 +106,10 @@
         }
     }
 
-    fn append_for_successor(&mut self, id: JobKey, requests: Vec<Request>) {
-        let Some(handed_on) = self.handed_on.get_mut(&id) else {
-            return;
-        };
-        handed_on.in_flight += 1;
-        let pool = handed_on.pool.clone();
+    fn append_for_successor(&mut self, id: JobKey, pool: PoolId, requests: Vec<Request>) {
+        if let Some(handed_on) = self.handed_on.get_mut(&id) {
+            handed_on.in_flight += 1;
+        }
         self.actions.push(Action::HandOn { id, pool, requests });
     }
 
@@ -126,19 +126,21 @@
         (handed_on.in_flight != 0 && is_visible(&handed_on.team, team)).then_some(JobStatus::Queued)
     }
 
-    /// Answers an instance that is about to store a submission for the pool that the queue uses
-    /// after `pool`. That the job is not here is answered only by an owner that knows of the move,
-    /// and only while there can be no later owner that might not.
-    pub fn former_status(&self, now: Now, id: &JobKey, team: Option<&TeamId>, queue: &QueueId, pool: &PoolId) -> Reply {
-        if self.is_quarantined(id) {
-            return Reply::Quarantined;
-        }
-        let status = self.job_status(id, team);
-        let has_moved = self.catalog.queues.get(queue).is_some_and(|it| it.pool != *pool);
-        let is_owner = !self.fenced && !self.ownership_left(now).is_zero();
-        match status.is_some() || has_moved && is_owner {
-            true => Reply::Status(status),
-            false => Reply::Unavailable,
-        }
+    /// Status of a job that is not known to be new, for a caller of a team.
+    pub(crate) fn inquired_status(&self, id: &JobKey, team: Option<&TeamId>) -> Option<JobStatus> {
+        let submission = self.inquiries.get(id)?.submission.as_ref()?;
+        is_visible(&submission.team, team).then_some(JobStatus::Queued)
+    }
+}
+
+/// Returns the addressee of requests to an address.
+fn into_addressee(address: Address, assignment: Assignment) -> Addressee {
+    Addressee {
+        queue: assignment.queue,
+        pool: assignment.pool,
+        origin: Some(Origin {
+            address,
+            version: assignment.version,
+        }),
     }
 }
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -198,6 +198,16 @@
         /// The requests.
         requests: Vec<Request>,
     },
+    /// Ask the owner of another pool whether it has jobs, and pass its answer to
+    /// [`Scheduler::holdings_received`](crate::scheduler::Scheduler::holdings_received).
+    Inquire {
+        /// The other pool.
+        pool: PoolId,
+        /// Version of the configuration that its owner has to know.
+        version: u64,
+        /// The jobs.
+        jobs: Vec<JobKey>,
+    },
     /// Order a worker to start a run.
     Start(StartOrder),
     /// Order a worker to stop a run.
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -45,6 +45,7 @@
         self.open_jobs.remove(id);
         self.dirty_jobs.remove(id);
         self.handed_on.remove(id);
+        self.inquiries.remove(id);
         self.advice.retain(|(job, _, _), _| job != id);
         // The requests stay in the log.
         self.read_cancels.remove(id);
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -43,9 +43,9 @@
         self.jobs.len()
     }
 
-    /// Whether a job is known, be it open or ended.
+    /// Whether a job is known, be it open, ended or not known to be new.
     pub fn has_job(&self, id: &JobKey) -> bool {
-        self.jobs.contains_key(id)
+        self.jobs.contains_key(id) || self.inquiries.contains_key(id)
     }
 
     /// Whether a worker is listed, or may still have runs although it is not.
@@ -91,7 +91,7 @@
     /// has confirmed it.
     pub fn job_status(&self, id: &JobKey, team: Option<&TeamId>) -> Option<JobStatus> {
         let Some(tracked) = self.jobs.get(id) else {
-            return self.handed_on_status(id, team);
+            return self.inquired_status(id, team).or_else(|| self.handed_on_status(id, team));
         };
         if !tracked.is_visible_to(team) {
             return None;
@@ -109,8 +109,8 @@
     /// as started once its worker has reported it, as the start order may be lost.
     pub fn queued_jobs(&self, queue: &QueueId) -> u64 {
         let jobs = self.open_jobs.iter().map(|it| &self.jobs[it]);
-        jobs.filter(|it| it.record.submission.queue == *queue && !it.may_have_started)
-            .count() as u64
+        let admitted = jobs.filter(|it| it.record.submission.queue == *queue && !it.may_have_started);
+        (admitted.count() + self.inquired_jobs(queue)) as u64
     }
 
     /// Resources that each team uses, and that its waiting tasks need. Tasks for which their pool
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -10,6 +10,7 @@
 
 use crate::balance::PoolLoad;
 use crate::id::{InstanceId, PoolId, TeamId};
+use crate::inquiry::Holding;
 use crate::job_record::{JobKey, QueueId};
 use crate::query::{JobStatus, TeamDemand};
 use crate::resources::Resources;
@@ -31,19 +32,15 @@
         /// Team of the caller; `None` for a public queue.
         team: Option<TeamId>,
     },
-    /// Queries a job's status from the owner of a former pool of its queue, before the job is
-    /// stored for another pool. An owner that answers that there is none does not admit it later.
-    FormerStatus {
-        /// Partition of the former pool.
+    /// Asks the owner of a pool that queues have used whether it has jobs, before the owner of
+    /// another pool admits them.
+    Inquire {
+        /// Partition of the pool.
         part: PartitionId,
-        /// Key of the job.
-        id: JobKey,
-        /// Team of the caller; `None` for a public queue.
-        team: Option<TeamId>,
-        /// Queue of the job.
-        queue: QueueId,
-        /// The former pool.
-        pool: PoolId,
+        /// Version of the configuration that the owner has to know.
+        version: u64,
+        /// The jobs.
+        jobs: Vec<JobKey>,
     },
     /// Queries the number of queued jobs of a queue from the owner of its partition.
     Pending {
@@ -124,4 +121,6 @@
     Unknown,
     /// There is such a job, but the owner cannot handle it.
     Quarantined,
+    /// Whether the owner has each of the jobs, in order.
+    Holdings(Vec<Holding>),
 }
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::decision::Decision;
 use crate::forecast::Forecast;
 use crate::id::{InstanceId, PoolId, TeamId};
+use crate::inquiry::{Inquiry, Question};
 use crate::job_record::{CancelKey, JobKey, JobPhase, JobRecord, TaskKey, TaskState};
 use crate::moved_queue::{Cancel, HandedOn};
 use crate::order::{Action, TokenForm};
@@ -143,6 +144,12 @@
     pub(crate) read_cancels: HashMap<JobKey, BTreeMap<Option<TeamId>, Cancel>>,
     /// Jobs that were handed on to the next pool of their queue.
     pub(crate) handed_on: HashMap<JobKey, HandedOn>,
+    /// Jobs that other pools may have.
+    pub(crate) inquiries: BTreeMap<JobKey, Inquiry>,
+    /// Questions to the owners of these pools.
+    pub(crate) questions: HashMap<PoolId, Question>,
+    /// Whether the configuration has changed since the last call to `poll`.
+    pub(crate) catalog_has_changed: bool,
     /// Jobs whose records go into the next commit.
     pub(crate) dirty_jobs: BTreeSet<JobKey>,
     /// Jobs whose records the next commit removes.
@@ -200,6 +207,9 @@
             grants: HashMap::new(),
             read_cancels: HashMap::new(),
             handed_on: HashMap::new(),
+            inquiries: BTreeMap::new(),
+            questions: HashMap::new(),
+            catalog_has_changed: false,
             dirty_jobs: BTreeSet::new(),
             expired_jobs: Vec::new(),
             pending_starts: Vec::new(),
@@ -233,7 +243,7 @@
     /// Replaces the operators' configuration.
     pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
         self.catalog = catalog;
-        self.hand_on_waiting_cancels();
+        self.catalog_has_changed = true;
     }
 
     /// Replaces the share of each team's cap that this owner may use in its pools.
@@ -404,6 +414,8 @@
         if self.fenced {
             return std::mem::take(&mut self.actions);
         }
+        self.restart_inquiries(now);
+        self.send_questions(now);
         self.expire_leases(now);
         // Placements take effect with the next commit, so making them earlier gains nothing.
         if self.can_commit(now) {
@@ -517,7 +529,9 @@
             true => self.next_commit_at(),
             false => next,
         };
+        let question = self.next_question_at().unwrap_or(next);
         next.min(commit)
+            .min(question)
             .clamp(now.mono + Duration::from_millis(5), now.mono + Duration::from_millis(250))
     }
 
--- a/lib/tests/pool_world/calls.rs
+++ b/lib/tests/pool_world/calls.rs
@@ -75,6 +75,7 @@
             }
             Action::RemoveRequests { .. }
             | Action::HandOn { .. }
+            | Action::Inquire { .. }
             | Action::SetSpeed { .. }
             | Action::RequestAdvice { .. }
             | Action::LogDecision(_) => {}
--- a/lib/tests/pool_world/mod.rs
+++ b/lib/tests/pool_world/mod.rs
@@ -312,6 +312,7 @@
             team: Arc::from("team"),
             received_ms: self.now().wall_ms(),
             spec: spec.clone(),
+            origin: None,
         };
         self.specs.insert(id.clone(), spec);
         let request = Request::Submit(submission);
--- a/lib/tests/test_moved_queue.rs
+++ b/lib/tests/test_moved_queue.rs
@@ -4,21 +4,25 @@
 use std::time::Duration;
 
 use oriolewall::id::{PoolId, TeamId};
-use oriolewall::job_record::{Addressee, JobKey, Request, Submission};
+use oriolewall::inquiry::Holding;
+use oriolewall::job_record::{Addressee, JobKey, Origin, Request};
 use oriolewall::query::JobStatus;
-use oriolewall::rpc::Reply;
+use oriolewall::spec::JobSpec;
 use oriolewall::worker::ListedWorker;
 use serde::{Deserialize, Serialize};
-use testutils::owner::{OwnerFixture, RENEWAL_WINDOW, step, submit, worker};
+use testutils::owner::{OwnerFixture, RENEWAL_WINDOW, queue, step, submit, worker};
 
 /// Moves the queue of the fixture from `pool` to `next`.
 fn move_queue(fixture: &mut OwnerFixture) {
-    let queue = fixture.catalog.queues.values_mut().next().unwrap();
-    let queue = Arc::make_mut(queue);
-    queue.pool = Arc::from("next");
-    queue.former_pools = vec![Arc::from("pool")];
-    fixture.catalog.version += 1;
-    fixture.refresh_config();
+    fixture.configure(2, &[queue("queue", "/q/", "next")]);
+}
+
+/// Has the owner of one pool answer the questions of another one.
+fn answer_questions(asking: &mut OwnerFixture, asked: &OwnerFixture) {
+    for (pool, version, jobs) in asking.questions.drain(..) {
+        let answer = asked.owner.holdings(asked.now, version, &jobs);
+        asking.owner.holdings_received(asking.now, &pool, version, jobs, answer);
+    }
 }
 
 /// A worker of the pool to which the queue moves.
@@ -48,9 +52,9 @@
     Request::Submit(submission)
 }
 
-fn former_status(fixture: &OwnerFixture, id: &str) -> Reply {
-    let (queue, pool): (Arc<str>, PoolId) = (Arc::from("queue"), Arc::from("pool"));
-    fixture.owner.former_status(fixture.now, &JobKey::from(id), None, &queue, &pool)
+/// What the owner answers to another one that knows the second version of the configuration.
+fn holding(fixture: &OwnerFixture, id: &str) -> Option<Holding> {
+    Some(fixture.owner.holdings(fixture.now, 2, &[JobKey::from(id)])?[0])
 }
 
 #[test]
@@ -62,6 +66,8 @@
     move_queue(&mut former);
     move_queue(&mut next);
     next.add_request("job", for_next(submit("", vec![step(2, 1000)])));
+    next.advance_ms(50);
+    answer_questions(&mut next, &former);
     former.add_request("job", submit("", vec![step(2, 1000)]));
     former.advance_ms(200);
     pass_on(&mut former, &mut next);
@@ -83,6 +89,9 @@
         "the job is known until the other owner may have read it"
     );
     pass_on(&mut former, &mut next);
+    next.advance_ms(50);
+    assert_eq!(next.owner.job_status(&JobKey::from("job"), None), Some(JobStatus::Queued));
+    answer_questions(&mut next, &former);
     next.advance_ms(200);
     assert_eq!((former.starts.len(), next.starts.len()), (0, 1));
     assert_eq!(former.owner.job_status(&JobKey::from("job"), None), None);
@@ -114,18 +123,49 @@
 #[test]
 fn a_queue_that_moved_back_is_run_by_its_first_pool() {
     let mut first = OwnerFixture::with_observed_workers(vec![worker("w1")]);
-    let before = first.catalog.clone();
-    move_queue(&mut first);
+    let mut next = OwnerFixture::with_observed_workers(vec![next_worker("w2")]);
+    for fixture in [&mut first, &mut next] {
+        move_queue(fixture);
+    }
     first.add_request("job", submit("", vec![step(1, 1000)]));
     first.advance_ms(100);
     assert_eq!(first.handed_on.len(), 1);
-    first.catalog = before;
-    first.refresh_config();
+    for fixture in [&mut first, &mut next] {
+        fixture.configure(3, &[queue("queue", "/q/", "pool")]);
+    }
     first.add_request("job", submit("", vec![step(1, 1000)]));
+    first.advance_ms(50);
+    assert!(first.starts.is_empty(), "the other pool may have the job");
+    next.advance_ms(50);
+    answer_questions(&mut first, &next);
     first.advance_ms(100);
     assert_eq!(first.starts.len(), 1);
 }
 
+#[test]
+fn a_queue_that_moved_there_and_back_runs_no_job_of_the_other_pool_again() {
+    // An instance that had been paused stored a submission by its first configuration, and the
+    // first pool ran the job although the pool between was running it.
+    let mut first = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    let mut between = OwnerFixture::with_observed_workers(vec![next_worker("w2")]);
+    for fixture in [&mut first, &mut between] {
+        move_queue(fixture);
+    }
+    between.add_request("job", for_next(submit("", vec![step(2, 1000)])));
+    between.advance_ms(50);
+    answer_questions(&mut between, &first);
+    between.advance_ms(200);
+    for fixture in [&mut first, &mut between] {
+        fixture.configure(3, &[queue("queue", "/q/", "pool")]);
+    }
+    first.add_request("job", submit("", vec![step(2, 1000)]));
+    first.advance_ms(50);
+    answer_questions(&mut first, &between);
+    first.advance_ms(4000);
+    assert_eq!((first.starts.len(), between.starts.len()), (0, 2));
+    assert_eq!(first.removed_requests, [JobKey::from("job")]);
+}
+
 #[test]
 fn cancels_follow_the_job() {
     let mut former = OwnerFixture::with_observed_workers(vec![worker("w1")]);
@@ -143,6 +183,8 @@
     former.add_request("after", cancel());
     former.advance_ms(100);
     pass_on(&mut former, &mut next);
+    next.advance_ms(50);
+    answer_questions(&mut next, &former);
     next.advance_ms(200);
     assert!(next.starts.is_empty());
     for id in ["before", "after"] {
@@ -155,16 +197,16 @@
     let mut former = OwnerFixture::with_observed_workers(vec![worker("w1")]);
     former.add_request("job", submit("", vec![step(1, 1000)]));
     former.advance_ms(100);
-    assert_eq!(former_status(&former, "job"), Reply::Status(Some(JobStatus::Running)));
+    assert_eq!(holding(&former, "job"), Some(Holding::Held));
     assert_eq!(
-        former_status(&former, "other"),
-        Reply::Unavailable,
+        holding(&former, "other"),
+        Some(Holding::Undecided),
         "it does not know of the move and would run a submission on its way"
     );
     move_queue(&mut former);
-    assert_eq!(former_status(&former, "other"), Reply::Status(None));
+    assert_eq!(holding(&former, "other"), Some(Holding::NotHeld));
     former.now.mono += RENEWAL_WINDOW + Duration::from_millis(200);
-    assert_eq!(former_status(&former, "other"), Reply::Unavailable, "there may be a later owner");
+    assert_eq!(holding(&former, "other"), None, "there may be a later owner");
 }
 
 /// A cancel that an instance stored for a pool of the queue.
@@ -172,6 +214,24 @@
     let addressee = Addressee {
         queue: Arc::from("queue"),
         pool: Arc::from(pool),
+        origin: None,
+    };
+    Request::Cancel {
+        at_ms: 0,
+        team: None,
+        addressee: Some(addressee),
+    }
+}
+
+/// A cancel that an owner handed on by a version of the configuration.
+fn handed_on_cancel(pool: &str, version: u64) -> Request {
+    let addressee = Addressee {
+        queue: Arc::from("queue"),
+        pool: Arc::from(pool),
+        origin: Some(Origin {
+            address: Arc::from("host/q/"),
+            version,
+        }),
     };
     Request::Cancel {
         at_ms: 0,
@@ -191,6 +251,8 @@
     former.add_request("job", submit("", vec![step(1, 1000)]));
     former.advance_ms(100);
     pass_on(&mut former, &mut next);
+    next.advance_ms(50);
+    answer_questions(&mut next, &former);
     former.replace_owner();
     former.refresh_config();
     former.owner.load_request(former.now, Arc::from("job"), cancel_for("pool"));
@@ -211,7 +273,10 @@
     former.refresh_config();
     former.advance_ms(100);
     let handed_on: Vec<_> = former.handed_on.drain(..).collect();
-    assert_eq!(handed_on, [(JobKey::from("job"), PoolId::from("next"), vec![cancel_for("next")])]);
+    assert_eq!(
+        handed_on,
+        [(JobKey::from("job"), PoolId::from("next"), vec![handed_on_cancel("next", 2)])]
+    );
 }
 
 #[test]
@@ -230,36 +295,58 @@
 fn a_cancel_ends_in_the_pool_that_the_queue_uses() {
     let mut first = OwnerFixture::with_observed_workers(vec![worker("w1")]);
     let mut next = OwnerFixture::with_observed_workers(vec![next_worker("w2")]);
-    let before = first.catalog.clone();
     move_queue(&mut first);
     move_queue(&mut next);
     first.add_request("job", cancel_for("pool"));
     first.advance_ms(100);
     pass_on(&mut first, &mut next);
-    next.advance_ms(100);
     assert!(next.handed_on.is_empty());
     // The queue moves back.
     for fixture in [&mut first, &mut next] {
-        fixture.catalog = before.clone();
-        let queue = Arc::make_mut(fixture.catalog.queues.values_mut().next().unwrap());
-        queue.former_pools = vec![Arc::from("next")];
-        fixture.catalog.version += 2;
-        fixture.refresh_config();
+        fixture.configure(3, &[queue("queue", "/q/", "pool")]);
         fixture.advance_ms(100);
     }
     let handed_on: Vec<_> = next.handed_on.drain(..).collect();
-    assert_eq!(handed_on, [(JobKey::from("job"), PoolId::from("pool"), vec![cancel_for("pool")])]);
+    assert_eq!(
+        handed_on,
+        [(JobKey::from("job"), PoolId::from("pool"), vec![handed_on_cancel("pool", 3)])]
+    );
     first.add_request("job", cancel_for("pool"));
     first.add_request("job", submit("", vec![step(1, 1000)]));
+    first.advance_ms(50);
+    answer_questions(&mut first, &next);
     first.advance_ms(200);
     assert!(first.handed_on.is_empty() && first.starts.is_empty());
     assert_eq!(first.owner.job_status(&JobKey::from("job"), None), Some(JobStatus::Cancelled));
 }
 
+#[test]
+fn a_cancel_stored_by_an_earlier_configuration_follows_the_job_to_the_pool_between() {
+    let mut first = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    let mut between = OwnerFixture::with_observed_workers(vec![next_worker("w2")]);
+    for fixture in [&mut first, &mut between] {
+        move_queue(fixture);
+    }
+    between.add_request("job", for_next(submit("", vec![step(1, 1000)])));
+    between.advance_ms(50);
+    answer_questions(&mut between, &first);
+    between.advance_ms(100);
+    for fixture in [&mut first, &mut between] {
+        fixture.configure(3, &[queue("queue", "/q/", "pool")]);
+    }
+    first.add_request("job", cancel_for("pool"));
+    first.advance_ms(50);
+    answer_questions(&mut first, &between);
+    first.advance_ms(50);
+    pass_on(&mut first, &mut between);
+    between.advance_ms(100);
+    assert_eq!(between.owner.job_status(&JobKey::from("job"), None), Some(JobStatus::Cancelled));
+}
+
 /// Requests as earlier builds decode them.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 enum EarlierRequest {
-    Submit(Submission),
+    Submit(EarlierSubmission),
     Cancel {
         at_ms: u64,
         #[serde(default)]
@@ -267,6 +354,16 @@
     },
 }
 
+/// A submission as earlier builds decode it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierSubmission {
+    queue: Arc<str>,
+    pool: PoolId,
+    team: TeamId,
+    received_ms: u64,
+    spec: Arc<JobSpec>,
+}
+
 #[test]
 fn earlier_and_later_builds_read_each_others_cancels() {
     let team: Option<TeamId> = Some(Arc::from("team"));
@@ -284,6 +381,10 @@
     let addressee = Addressee {
         queue: Arc::from("queue"),
         pool: Arc::from("pool"),
+        origin: Some(Origin {
+            address: Arc::from("host/q/"),
+            version: 7,
+        }),
     };
     let later = Request::Cancel {
         at_ms: 7,
@@ -293,10 +394,28 @@
     let bytes = later.to_bytes();
     assert_eq!(rmp_serde::from_slice::<EarlierRequest>(&bytes).unwrap(), earlier);
     assert_eq!(rmp_serde::from_slice::<Request>(&bytes).unwrap(), later);
-    let submission = submit("team", vec![step(1, 1000)]);
-    let Request::Submit(expected) = submission.clone() else {
+}
+
+#[test]
+fn earlier_and_later_builds_read_each_others_submissions() {
+    let Request::Submit(mut submission) = submit("team", vec![step(1, 1000)]) else {
         panic!("the request submits no job");
     };
-    let decoded = rmp_serde::from_slice::<EarlierRequest>(&submission.to_bytes()).unwrap();
-    assert_eq!(decoded, EarlierRequest::Submit(expected));
+    let earlier = EarlierRequest::Submit(EarlierSubmission {
+        queue: submission.queue.clone(),
+        pool: submission.pool.clone(),
+        team: submission.team.clone(),
+        received_ms: submission.received_ms,
+        spec: submission.spec.clone(),
+    });
+    let plain = Request::Submit(submission.clone());
+    assert_eq!(rmp_serde::to_vec(&earlier).unwrap(), plain.to_bytes());
+    assert_eq!(rmp_serde::from_slice::<Request>(&plain.to_bytes()).unwrap(), plain);
+    submission.origin = Some(Origin {
+        address: Arc::from("host/q/"),
+        version: 7,
+    });
+    let moved = Request::Submit(submission);
+    assert_eq!(rmp_serde::from_slice::<EarlierRequest>(&moved.to_bytes()).unwrap(), earlier);
+    assert_eq!(rmp_serde::from_slice::<Request>(&moved.to_bytes()).unwrap(), moved);
 }
--- a/lib/tests/test_odd_job.rs
+++ b/lib/tests/test_odd_job.rs
@@ -23,6 +23,7 @@
             start_at_ms: u64::MAX,
             interval_ms: u64::MAX,
         }),
+        origin: None,
     }
 }
 
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -12,7 +12,7 @@
 use oriolewall::resources::Resources;
 use oriolewall::spec::JobSpec;
 use oriolewall::worker::RunKey;
-use testutils::owner::{LEASE, OwnerFixture, run_end, step, submit, task, time_at, worker};
+use testutils::owner::{LEASE, OwnerFixture, queue, run_end, step, submit, task, time_at, worker};
 
 #[test]
 fn no_run_starts_before_its_placement_is_logged() {
@@ -396,6 +396,7 @@
             start_at_ms: time_at(1000).wall_ms(),
             interval_ms: 1000,
         }),
+        origin: None,
     });
     fixture.add_request("job", request);
     fixture.advance_ms(850);
@@ -668,12 +669,14 @@
     let mut other_worker = worker("w2");
     other_worker.pool = Arc::from("other");
     let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1"), other_worker]);
+    fixture.configure(2, &[queue("queue", "/q/", "pool"), queue("other", "/o/", "other")]);
     for index in 0..50 {
         fixture.add_request(&format!("full{index:02}"), submit("", vec![step(1, 8000)]));
     }
     let Request::Submit(mut submission) = submit("", vec![step(2, 8000)]) else {
         unreachable!("it is a submission");
     };
+    submission.queue = Arc::from("other");
     submission.pool = Arc::from("other");
     fixture.add_request("later", Request::Submit(submission));
     fixture.advance_ms(100);
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -51,6 +51,8 @@
     pub removed_cancels: Vec<CancelKey>,
     /// Jobs that were handed on, with the next pool and the requests.
     pub handed_on: Vec<(JobKey, PoolId, Vec<Request>)>,
+    /// Questions to owners of other pools: the pool, the version of the configuration, the jobs.
+    pub questions: Vec<(PoolId, u64, Vec<JobKey>)>,
     /// Orders to change the speed of a run, with the speed in percent.
     pub speed_orders: Vec<(RunKey, u32)>,
     /// Requests for advice with their candidate workers.
@@ -97,25 +99,30 @@
     }
 }
 
-/// A configuration with one queue and one pool.
-pub fn catalog() -> Catalog {
-    let queue = Queue {
-        name: Arc::from("queue"),
+/// A queue with an address and a pool.
+pub fn queue(name: &str, path_prefix: &str, pool: &str) -> Queue {
+    Queue {
+        name: Arc::from(name),
         host: "host".to_owned(),
-        path_prefix: "/q/".to_owned(),
-        pool: Arc::from("pool"),
-        former_pools: Vec::new(),
+        path_prefix: path_prefix.to_owned(),
+        pool: Arc::from(pool),
         is_public: true,
         priority: 0,
         max_attempts: 2,
         slack_factor: 1.5,
         target_ms: 600,
         needs_advice: false,
-    };
+    }
+}
+
+/// A configuration with one queue and one pool.
+pub fn catalog() -> Catalog {
+    let queue = queue("queue", "/q/", "pool");
     let mut catalog = Catalog {
         version: 1,
         ..Catalog::default()
     };
+    Arc::make_mut(&mut catalog.history).apply(1, [&queue]);
     catalog.queues.insert(queue.name.clone(), Arc::new(queue));
     let pool = Pool { standby: false };
     catalog.pools.insert(Arc::from("pool"), pool);
@@ -144,6 +151,7 @@
             steps,
             ..JobSpec::default()
         }),
+        origin: None,
     })
 }
 
@@ -173,6 +181,7 @@
             removed_requests: Vec::new(),
             removed_cancels: Vec::new(),
             handed_on: Vec::new(),
+            questions: Vec::new(),
             speed_orders: Vec::new(),
             advice_requests: Vec::new(),
             commits: 0,
@@ -228,6 +237,14 @@
         self.starts.clear();
     }
 
+    /// Applies a version of the configuration to the catalog and passes it to the owner.
+    pub fn configure(&mut self, version: u64, queues: &[Queue]) {
+        self.catalog.version = version;
+        self.catalog.queues = queues.iter().map(|it| (it.name.clone(), Arc::new(it.clone()))).collect();
+        Arc::make_mut(&mut self.catalog.history).apply(version, queues);
+        self.refresh_config();
+    }
+
     /// Passes the configuration and the list of workers to the owner.
     pub fn refresh_config(&mut self) {
         self.owner.set_catalog(Arc::new(self.catalog.clone()));
@@ -289,6 +306,7 @@
                 self.removed_cancels.extend(cancels);
             }
             Action::HandOn { id, pool, requests } => self.handed_on.push((id, pool, requests)),
+            Action::Inquire { pool, version, jobs } => self.questions.push((pool, version, jobs)),
             Action::SetSpeed { key, percent, .. } => self.speed_orders.push((key, percent)),
             Action::RequestAdvice { step, workers } => self.advice_requests.push((step, workers)),
             Action::LogDecision(_) => {}
