assignments: record in the log which pools queues have used

Cause: which pools a queue has used was known only from the versions of the configuration that the store still keeps, for some seconds. An owner or instance that started later took the queue for one that never moved.

The owner of the coordinator's partition records the assignments of all addresses in a topic of its own, under its epoch, with the version up to which all is recorded: one append a version. Instances read it when they start or have missed versions, beside the last versions that may not be recorded yet. One that notices a gap between the two names the address in each submission. Left open: a version that the store drops before the coordinator records it, when no instance that read it is left.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`settings`]: the settings file.
 //! - `clock`: reads the system clocks.
 //! - `node`: state shared by all tasks of the process.
+//! - `assignments`: keeps the assignments of queues to pools in the log.
 //! - `watch`: follows operators' configuration, the list of workers and the settings file.
 //! - `group`: group membership, which decides the partitions that this instance owns.
 //! - `owner`: runs the scheduler of an owned partition.
@@ -25,6 +26,7 @@
 //! - [`supervisor`]: restarts tasks that must not end.
 
 mod actions;
+mod assignments;
 mod caller_api;
 mod clock;
 mod coordinator;
@@ -91,6 +93,7 @@
     spawn_supervised(&node, "workers", watch::follow_workers);
     spawn_supervised(&node, "settings", move |node| watch::follow_settings(node, path.clone()));
     spawn_supervised(&node, "coordinator", coordinator::run);
+    spawn_supervised(&node, "assignments", assignments::run);
     spawn_supervised(&node, "owners", group::follow_owners);
     let group_task = spawn_supervised(&node, "group", group::run);
     spawn_supervised(
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -11,7 +11,7 @@
 use oriole_platform::advice::AdviceClient;
 use oriole_platform::log::LogClient;
 use oriolewall::catalog::Catalog;
-use oriolewall::id::{InstanceId, PoolId};
+use oriolewall::id::{InstanceId, PoolId, fnv1a};
 use oriolewall::owner_shortage::Census;
 use oriolewall::reachability::Reachability;
 use oriolewall::refusal::Cause;
@@ -176,11 +176,8 @@
 
     /// Returns the partition that holds a pool's jobs, from a 64-bit FNV-1a hash of the pool's name.
     pub(crate) fn partition_of(&self, pool: &PoolId) -> PartitionId {
-        let hash = pool.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-        });
         // For short names the low bits of the hash are unevenly distributed, so the high bits are used.
-        ((hash >> 32) % u64::from(self.settings.partitions)) as PartitionId
+        ((fnv1a(pool) >> 32) % u64::from(self.settings.partitions)) as PartitionId
     }
 
     /// Returns the handle of a partition's owner, or `None` if no owner of it runs in this process.
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -10,14 +10,14 @@
 use oriole_platform::log::{Entry, Error, OPERATORS, Partition, ReadResult, WORKERS};
 use serde_json::json;
 
-use crate::clock;
 use crate::node::{Configuration, Node};
 use crate::settings::Settings;
+use crate::{assignments, clock};
 
 /// Time for which a read of the configuration waits for new records.
 const CONFIG_WAIT: Duration = Duration::from_secs(2);
-/// Number of operators' records before the newest ones that are read at the start. A job is
-/// submitted again within seconds, so only the last moves of queues matter.
+/// Number of operators' records before the newest ones that are read at the start: those that may
+/// not be among the recorded assignments yet.
 const HISTORY_RECORDS: u64 = 8;
 /// Time between two reads of the list of workers. A longer interval delays jobs that
 /// wait for a worker which has joined a pool.
@@ -139,17 +139,16 @@
     }
 }
 
-/// Reads the newest operators' records, and before them the last records that the log retains:
-/// earlier configurations tell from which pools queues have moved.
+/// Reads the newest operators' records, and before them the last records that the log retains and
+/// the recorded assignments, which tell from which pools queues have moved.
 async fn read_configuration(node: &Node, config: &mut OperatorConfig) -> Result<ReadResult, Error> {
     let mut newest = read_newest(node, OPERATORS).await?;
     if matches!(**node.configuration.load(), Configuration::Unread) {
         store_configuration(node, Configuration::WithoutHistory);
     }
-    let (first, mut history) = read_history(node, newest.next).await?;
-    if *node.operator_records_read.borrow() < first {
-        config.mark_incomplete();
-    }
+    let ((first, mut history), recorded) = tokio::try_join!(read_history(node, newest.next), assignments::read(node))?;
+    let is_contiguous = first <= *node.operator_records_read.borrow();
+    config.restore_history(recorded.version, recorded.assignments, is_contiguous);
     // The newest records of the other keys are complete by themselves.
     history.retain(config::is_configuration);
     newest.entries.splice(0..0, history);
--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -295,3 +295,23 @@
     scenario.signal(paused, Signal::CONT);
     scenario.check_that_each_task_ran_once(JOB).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_runs_once_if_its_call_is_repeated_at_an_instance_that_cannot_read_the_move() {
+    // TWICE: the log had dropped the earlier configuration, so an instance that started after the
+    // move knew no former pool.
+    let mut scenario = Scenario::start("moves-forgotten").await;
+    assert_eq!(scenario.submit(0, 0, JOB).await, 200);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // The log keeps the last two records.
+    scenario.configure(2, "q-0", 1);
+    scenario.configure(3, "q-0", 1);
+    tokio::time::sleep(CONFIG_TIME).await;
+    for instance in scenario.instances() {
+        scenario.restart_without_history(instance).await;
+    }
+    for instance in scenario.instances() {
+        assert_eq!(scenario.submit(instance, 0, JOB).await, 200);
+    }
+    scenario.check_that_each_task_ran_once(JOB).await;
+}
--- a/fleet/tests/test_soak/scenario.rs
+++ b/fleet/tests/test_soak/scenario.rs
@@ -104,6 +104,15 @@
         self.fleet[instance].signal(signal);
     }
 
+    /// Ends an instance at once, has the log drop all records that have newer ones, and starts the
+    /// instance again.
+    pub(crate) async fn restart_without_history(&mut self, instance: usize) {
+        self.fleet[instance].kill();
+        self.site.lock().log.compact();
+        self.fleet[instance].start();
+        process::wait_until_ready(self.fleet[instance].ready_port, PATIENCE).await;
+    }
+
     /// Waits until the tasks of a job have ended that started by now, and checks that each has run
     /// once.
     pub(crate) async fn check_that_each_task_ran_once(&self, id: &str) {
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -36,3 +36,10 @@
     let timestamp_ms = u64::from_be_bytes([0, 0, bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5]]);
     Some(timestamp_ms)
 }
+
+/// Returns the 64-bit FNV-1a hash of a name.
+pub fn fnv1a(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{InstanceId, PoolId, TeamId};
+use crate::id::{InstanceId, PoolId, TeamId, fnv1a};
 use crate::pool_history::Address;
 use crate::resources::Resources;
 use crate::spec::{JobSpec, Step};
@@ -95,10 +95,7 @@
     let Some(team) = team else {
         return format!("{job}{CANCEL_SEPARATOR}");
     };
-    let hash = team.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
-    format!("{job}{CANCEL_SEPARATOR}{hash:016x}")
+    format!("{job}{CANCEL_SEPARATOR}{:016x}", fnv1a(team))
 }
 
 /// Returns the job that the request with a record key is for. In keys of earlier builds nothing
--- a/lib/src/pool_history.rs
+++ b/lib/src/pool_history.rs
@@ -5,8 +5,11 @@
 //! it knows of an address decides which owners have to be asked whether a job is new.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::catalog::Queue;
 use crate::id::PoolId;
 use crate::job_record::{Origin, QueueId};
@@ -17,8 +20,8 @@
 /// Most addresses without a queue that are remembered.
 const MAX_UNUSED_ADDRESSES: usize = 4096;
 
-/// Pools of one address.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Pools of one address. The fields are encoded by position, so they keep their order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Assignment {
     /// Version of the configuration that assigned the address to its current pool.
     pub version: u64,
@@ -28,6 +31,8 @@
     pub pool: PoolId,
     /// Pools that the address was assigned to before, without the current one.
     pub former_pools: Vec<PoolId>,
+    /// Queues that had this address before any other one.
+    pub first_queues: Vec<QueueId>,
 }
 
 impl Assignment {
@@ -44,6 +49,12 @@
         self.former_pools.retain(|it| it != pool);
         self.version = version;
     }
+
+    fn add_former_pool(&mut self, pool: PoolId) {
+        if pool != self.pool && !self.former_pools.contains(&pool) {
+            self.former_pools.push(pool);
+        }
+    }
 }
 
 /// Assignments of all addresses, as far as they are known.
@@ -52,17 +63,44 @@
     assignments: HashMap<Address, Assignment>,
     /// First address of each name of a queue.
     first_addresses: HashMap<QueueId, Address>,
-    /// Last version in which a queue had the address, for addresses without a queue.
+    /// First version in which no queue had the address, for addresses without a queue.
     unused_since: HashMap<Address, u64>,
+    /// Last version before versions that may be missing.
+    gap_after: Option<u64>,
     is_incomplete: bool,
 }
 
 impl History {
+    /// Adds recorded assignments, which are those of all versions up to `version`. Unless the
+    /// versions that are applied next are contiguous with the last one, some may be missing between
+    /// the records and them.
+    pub fn restore<I>(&mut self, version: u64, records: I, is_contiguous: bool)
+    where
+        I: IntoIterator<Item = (Address, Assignment)>,
+    {
+        for (address, recorded) in records {
+            for queue in &recorded.first_queues {
+                self.first_addresses.entry(queue.clone()).or_insert_with(|| address.clone());
+            }
+            match self.assignments.entry(address) {
+                Entry::Vacant(entry) => _ = entry.insert(recorded),
+                Entry::Occupied(mut entry) => {
+                    let pools = recorded.former_pools.into_iter().chain([recorded.pool]);
+                    pools.for_each(|it| entry.get_mut().add_former_pool(it));
+                }
+            }
+        }
+        if !is_contiguous {
+            self.gap_after = Some(version);
+        }
+    }
+
     /// Applies a version of the configuration, given by its queues.
     pub fn apply<'a, I>(&mut self, version: u64, queues: I)
     where
         I: IntoIterator<Item = &'a Queue>,
     {
+        self.is_incomplete |= self.gap_after.take().is_some_and(|it| it < version);
         let mut queues: Vec<(Address, &Queue)> = queues.into_iter().map(|it| (it.address(), it)).collect();
         queues.sort_unstable_by_key(|(_, queue)| &queue.name);
         for address in self.assignments.keys() {
@@ -75,10 +113,14 @@
                 queue: queue.name.clone(),
                 pool: queue.pool.clone(),
                 former_pools: Vec::new(),
+                first_queues: Vec::new(),
             });
             assignment.queue = queue.name.clone();
             assignment.move_to(version, &queue.pool);
-            self.first_addresses.entry(queue.name.clone()).or_insert(address);
+            if let Entry::Vacant(entry) = self.first_addresses.entry(queue.name.clone()) {
+                entry.insert(address);
+                assignment.first_queues.push(queue.name.clone());
+            }
         }
         self.forget_unused();
     }
@@ -102,10 +144,17 @@
         self.assignments.get(address)
     }
 
-    /// Records that versions of the configuration are not known, so that queues may have moved
-    /// unnoticed.
-    pub fn mark_incomplete(&mut self) {
-        self.is_incomplete = true;
+    /// Records that the newest version of the configuration has been applied.
+    pub fn close_gap(&mut self) {
+        self.gap_after = None;
+    }
+
+    /// Returns what differs from recorded assignments: new ones, and `None` for forgotten ones.
+    pub fn changes_since(&self, recorded: &HashMap<Address, Assignment>) -> Vec<(Address, Option<Assignment>)> {
+        let changed = self.assignments.iter().filter(|(address, it)| recorded.get(*address) != Some(it));
+        let changed = changed.map(|(address, it)| (address.clone(), Some(it.clone())));
+        let forgotten = recorded.keys().filter(|it| !self.assignments.contains_key(*it));
+        changed.chain(forgotten.map(|it| (it.clone(), None))).collect()
     }
 
     /// Returns the first address of a queue's name.
--- a/lib/tests/test_inquiry.rs
+++ b/lib/tests/test_inquiry.rs
@@ -1,8 +1,9 @@
 //! Simulation of the owners of three pools in virtual time while queues move between the pools,
 //! change their names and exchange their addresses. Instances store submissions and cancels by
-//! outdated configurations, the log carries appends out late, owners are paused and replaced.
+//! outdated configurations, the log carries appends out late, owners are paused and replaced, also
+//! by ones that started late.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use oriolewall::catalog::{Catalog, Queue};
@@ -135,6 +136,18 @@
         owner.view = owner.view.max(count);
     }
 
+    /// What a process knows that started late: the records up to a version, and later versions.
+    fn restored_history(&mut self, view: usize) -> History {
+        let recorded = self.rng.random_range(0..view);
+        let complete = self.history_of(0, recorded, History::default());
+        let mut history = History::default();
+        let records = complete.changes_since(&HashMap::new());
+        let records = records.into_iter().filter_map(|(address, it)| Some((address, it?)));
+        history.restore(recorded as u64, records, false);
+        let first = self.rng.random_range(0..=recorded);
+        self.history_of(first, view, history)
+    }
+
     fn history_of(&self, first: usize, view: usize, mut history: History) -> History {
         for version in first..view {
             history.apply(version as u64 + 1, &self.configurations[version]);
@@ -145,7 +158,10 @@
     /// Replaces an owner. The next one knows the newest configuration.
     fn replace_owner(&mut self, index: usize) {
         let count = self.configurations.len();
-        let history = self.history_of(0, count, History::default());
+        let history = match self.occurs(0.5) {
+            true => self.restored_history(count),
+            false => self.history_of(0, count, History::default()),
+        };
         let owner = &mut self.owners[index];
         owner.epoch += 1;
         owner.fixture.replace_owner();
@@ -165,7 +181,11 @@
         } else {
             newest
         };
-        (view, self.history_of(0, view, History::default()))
+        let history = match self.occurs(0.3) {
+            true => self.restored_history(view),
+            false => self.history_of(0, view, History::default()),
+        };
+        (view, history)
     }
 
     fn draw_append_delay(&mut self) -> u64 {
--- a/lib/tests/test_pool_history.rs
+++ b/lib/tests/test_pool_history.rs
@@ -1,6 +1,7 @@
 //! Which pools an address of queues is known to have used, for orders of events in which a list of
 //! pools by the queue's name was wrong.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use oriolewall::catalog::Queue;
@@ -76,14 +77,52 @@
     assert_eq!(history.origin(&moved).unwrap().version, 3);
 }
 
+/// A history of an instance that started late and read the records of another one.
+fn restored(history: &History, version: u64) -> History {
+    let records = history.changes_since(&HashMap::new()).into_iter();
+    let mut restored = History::default();
+    restored.restore(version, records.filter_map(|(address, it)| Some((address, it?))), false);
+    restored
+}
+
+#[test]
+fn an_instance_that_starts_late_knows_recorded_moves() {
+    // The log had dropped the earlier configurations, and the former owner was not asked.
+    let before = history(&[&[("q", "/q/", "a"), ("r", "/r/", "c")], &[("s", "/q/", "b"), ("r", "/r/", "c")]]);
+    let mut late = restored(&before, 2);
+    let newest = [queue("s", "/q/", "b"), queue("r", "/r/", "c")];
+    late.apply(2, &newest);
+    assert_eq!(pools(&late, "/q/"), ("b".into(), 2, vec!["a".into()]));
+    assert_eq!(late.first_address(&Arc::from("q")), Some(&Address::from("host/q/")));
+    assert_eq!(late.origin(&newest[1]), None);
+    late.apply(3, [&queue("t", "/q/", "c")]);
+    assert_eq!(pools(&late, "/q/"), ("c".into(), 3, vec!["a".into(), "b".into()]));
+}
+
 #[test]
 fn an_instance_that_missed_configurations_names_the_origin_of_all_submissions() {
-    let mut history = history(&[&[("q", "/q/", "a")]]);
-    history.mark_incomplete();
-    let origin = history.origin(&queue("q", "/q/", "a")).unwrap();
+    let before = history(&[&[("q", "/q/", "a")]]);
+    let mut late = restored(&before, 1);
+    let queue = queue("q", "/q/", "a");
+    late.apply(3, [&queue]);
+    let origin = late.origin(&queue).unwrap();
     assert_eq!((&*origin.address, origin.version), ("host/q/", 1));
 }
 
+#[test]
+fn only_changes_are_recorded() {
+    let mut history = history(&[&[("q", "/q/", "a"), ("r", "/r/", "b")]]);
+    let recorded: HashMap<_, _> = history
+        .changes_since(&HashMap::new())
+        .into_iter()
+        .map(|(address, it)| (address, it.unwrap()))
+        .collect();
+    assert_eq!(recorded.len(), 2);
+    history.apply(2, [&queue("q", "/q/", "a"), &queue("r", "/r/", "a")]);
+    let changes: Vec<_> = history.changes_since(&recorded).into_iter().map(|(address, _)| address).collect();
+    assert_eq!(changes, [Address::from("host/r/")]);
+}
+
 #[test]
 fn removed_queues_do_not_add_up() {
     let mut history = History::default();
