owner: deny a job to another owner only if there is no later one

An owner that answers that it does not have a job allows another one to admit it. It answered while it may start runs, 2.2 s after its ownership was last confirmed, or a commit was.

It answers at once now if its membership is certain (1.5 s) and no other owner can have had the partition since it acquired it, and otherwise after the log has confirmed that no later epoch is set. A later owner then sets its epoch after the answer, reads the configuration after that, and knows the move.

an_owner_that_may_have_been_replaced_does_not_deny_a_job fails without the check: 1.6 s after the log fell silent the answer was that the job is not there.

--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -279,10 +279,7 @@
                 self.scheduler.set_grants(grants);
             }
             Event::StatusQuery(id, team, reply) => send_reply(reply, self.status(&id, team.as_ref())),
-            Event::HoldingsQuery(version, jobs, reply) => {
-                let holdings = self.scheduler.holdings(now, version, &jobs);
-                send_reply(reply, holdings.map_or(Reply::Unavailable, Reply::Holdings));
-            }
+            Event::HoldingsQuery(version, jobs, reply) => self.answer_inquiry(version, &jobs, reply),
             Event::HoldingsReceived {
                 pool,
                 version,
@@ -336,6 +333,26 @@
         }
     }
 
+    /// Answers the owner of another pool. It admits jobs by the answer, so there must be no later
+    /// owner of this partition yet: unless the group rules that out, the log is asked.
+    fn answer_inquiry(&mut self, version: u64, jobs: &[JobKey], reply: oneshot::Sender<Reply>) {
+        let Some(holdings) = self.scheduler.holdings(clock::now(), version, jobs) else {
+            send_reply(reply, Reply::Unavailable);
+            return;
+        };
+        let answer = Reply::Holdings(holdings);
+        let (node, part, epoch) = (self.node.clone(), self.part, self.epoch);
+        let owned = node.owned_partition(part);
+        if node.is_member() && owned.is_some_and(|it| it.epoch == epoch && it.tenure.since() <= epoch) {
+            send_reply(reply, answer);
+            return;
+        }
+        self.background_tasks.spawn(async move {
+            let is_owner = set_epoch(&node, part, epoch).await.is_ok();
+            send_reply(reply, if is_owner { answer } else { Reply::Unavailable });
+        });
+    }
+
     fn log_ownership(&self, generation: Generation, outcome: &str) {
         self.node.decision_log.write(
             "ownership",
--- a/fleet/tests/test_moved_queue.rs
+++ b/fleet/tests/test_moved_queue.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use oriole_fleet::settings::Settings;
 use oriolewall::inquiry::Holding;
 use oriolewall::rpc::{Call, Reply};
@@ -37,6 +38,8 @@
     assigned: Mutex<Vec<u32>>,
     /// Number of appends by owners.
     owner_appends: AtomicUsize,
+    /// Whether joins and appends are not answered.
+    is_silent: AtomicBool,
 }
 
 impl FakeLog {
@@ -135,10 +138,10 @@
     text
 }
 
-/// Starts an HTTP server that answers with the body that `answer` returns.
+/// Starts an HTTP server that answers with the body that `answer` returns, or not at all.
 async fn serve<F>(answer: F) -> SocketAddr
 where
-    F: Fn(HttpRequest) -> Vec<u8> + Send + Sync + 'static,
+    F: Fn(HttpRequest) -> Option<Vec<u8>> + Send + Sync + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
@@ -152,7 +155,9 @@
                     if request.0.contains("waitMs=2000") {
                         tokio::time::sleep(Duration::from_millis(20)).await;
                     }
-                    let body = answer(request);
+                    let Some(body) = answer(request) else {
+                        return std::future::pending().await;
+                    };
                     let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
                     if stream.write_all(&[head.as_bytes(), &body].concat()).await.is_err() {
                         return;
@@ -203,6 +208,13 @@
 
 /// Starts an instance and returns its addresses for callers and for the check of its readiness.
 async fn start_instance_with_readiness(log_addr: SocketAddr) -> (SocketAddr, SocketAddr) {
+    let [callers, ready, _] = start_instance_with_addrs(log_addr).await;
+    (callers, ready)
+}
+
+/// Starts an instance and returns its addresses for callers, for the check of its readiness and
+/// for other instances.
+async fn start_instance_with_addrs(log_addr: SocketAddr) -> [SocketAddr; 3] {
     let mut addrs = Vec::new();
     for _ in 0..4 {
         addrs.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -217,7 +229,20 @@
     let settings = Settings::parse("fleet.ini", &text).unwrap();
     let readiness_addr = settings.readiness_addr;
     tokio::spawn(oriole_fleet::run(settings, PathBuf::from("fleet.ini")));
-    (addrs[0], readiness_addr)
+    [addrs[0], readiness_addr, addrs[2]]
+}
+
+/// Asks the owner of a partition in an instance for a job that it does not have.
+async fn ask_owner(peer_addr: SocketAddr, part: u32) -> Reply {
+    let call = Call::Inquire {
+        part,
+        version: 1,
+        jobs: vec![Arc::from("00000000000000f1")],
+    };
+    let body = Bytes::from(rmp_serde::to_vec(&call).unwrap());
+    let call = oriole_daemon::client::Call::post(peer_addr, "/peer", body, Duration::from_secs(2));
+    let response = oriole_daemon::client::Client::new().call(call).await.unwrap();
+    rmp_serde::from_slice(&response.body).unwrap()
 }
 
 /// Sends a request to an instance and returns the status of the response.
@@ -261,7 +286,11 @@
     let log = Arc::new(FakeLog::default());
     log.configs.lock().unwrap().push(config(1, "pool"));
     let server = log.clone();
-    let addr = serve(move |(target, body)| server.answer(&target, &body)).await;
+    let addr = serve(move |(target, body)| {
+        let is_lost = server.is_silent.load(Ordering::SeqCst) && (target.contains("/log-join") || target.contains("/log-append"));
+        (!is_lost).then(|| server.answer(&target, &body))
+    })
+    .await;
     (log, addr)
 }
 
@@ -287,7 +316,7 @@
             Ok(Call::Inquire { jobs, .. }) => Reply::Holdings(vec![holding; jobs.len()]),
             _ => Reply::Unavailable,
         };
-        rmp_serde::to_vec(&reply).unwrap()
+        Some(rmp_serde::to_vec(&reply).unwrap())
     })
     .await;
     log.owners.lock().unwrap().push((part, format!("{owner}@1")));
@@ -354,7 +383,7 @@
     let addr = start_instance(log_addr).await;
     wait_for_version(addr, 1).await;
     let former = submit(&log, addr, "00000000000000d1").await;
-    let owner = serve(|_| rmp_serde::to_vec(&Reply::Status(None)).unwrap()).await;
+    let owner = serve(|_| Some(rmp_serde::to_vec(&Reply::Status(None)).unwrap())).await;
     log.configs.lock().unwrap().push(config(2, "next"));
     wait_for_version(addr, 2).await;
     // The owner of the current pool answers that it does not have the job.
@@ -413,3 +442,19 @@
     }
     panic!("the owner does not take over");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_that_may_have_been_replaced_does_not_deny_a_job() {
+    // Its membership had expired, so a later owner might have admitted the job meanwhile.
+    let (log, log_addr) = start_log().await;
+    log.assigned.lock().unwrap().push(3);
+    let [addr, _, peer_addr] = start_instance_with_addrs(log_addr).await;
+    wait_for_version(addr, 1).await;
+    assert!(soon(|| log.owner_appends.load(Ordering::SeqCst) != 0).await);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(ask_owner(peer_addr, 3).await, Reply::Holdings(vec![Holding::NotHeld]));
+    log.is_silent.store(true, Ordering::SeqCst);
+    // Later than the membership is certain, and sooner than runs are no longer started.
+    tokio::time::sleep(Duration::from_millis(1600)).await;
+    assert_eq!(ask_owner(peer_addr, 3).await, Reply::Unavailable);
+}
