takeover: read the latest configuration beside the jobs

The read that tells whether the configuration is the latest one delayed each takeover by a call to the log. It runs beside the read of the job records, as both only have to follow the setting of the epoch.

--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -41,7 +41,7 @@
 /// which to follow requests, or `None` if there is a later owner.
 pub(crate) async fn take_over(node: &Node, part: PartitionId, epoch: u64) -> Option<(Scheduler, u64)> {
     let started = clock::now().mono;
-    let catalog = wait_for_catalog(node, part, epoch).await?;
+    wait_for_configuration(node, part, epoch).await?;
     let jobs = Partition { topic: JOBS, number: part };
     let requests = Partition {
         topic: REQUESTS,
@@ -67,11 +67,11 @@
         stop_time: node.bounds.load().stop_max,
     };
     // An earlier owner may have answered other owners by a later configuration.
-    let catalog = read_latest_catalog(node, part, epoch).await?.unwrap_or(catalog);
+    let (catalog, job_records) = tokio::join!(read_latest_catalog(node, part, epoch), read_newest_with_retry(node, jobs, epoch));
     let mut scheduler = Scheduler::new(limits, now, confirmed_at).with_token_form(node.settings.token_form);
     // Requests of queues that have moved to another pool are handed on.
-    scheduler.set_catalog(catalog);
-    for entry in read_newest_with_retry(node, jobs, epoch).await?.entries {
+    scheduler.set_catalog(catalog?);
+    for entry in job_records?.entries {
         let Some(value) = entry.value else {
             continue;
         };
@@ -132,11 +132,11 @@
 
 /// Waits until it is known from which pools queues have moved: without that an owner would admit
 /// their jobs. Returns `None` if this instance no longer owns the partition.
-async fn wait_for_catalog(node: &Node, part: PartitionId, epoch: u64) -> Option<Arc<Catalog>> {
+async fn wait_for_configuration(node: &Node, part: PartitionId, epoch: u64) -> Option<()> {
     let mut changes = node.catalog_changes.subscribe();
     loop {
-        if let Configuration::Known(catalog) = &**node.configuration.load() {
-            return Some(catalog.clone());
+        if matches!(**node.configuration.load(), Configuration::Known(_)) {
+            return Some(());
         }
         if !still_owned(node, part, epoch) {
             return None;
@@ -147,14 +147,14 @@
 }
 
 /// Waits until this instance has read the operators' records that the log holds now, and returns
-/// the configuration in effect, if any. Returns `None` if this instance no longer owns the partition.
-async fn read_latest_catalog(node: &Node, part: PartitionId, epoch: u64) -> Option<Option<Arc<Catalog>>> {
+/// the configuration in effect. Returns `None` if this instance no longer owns the partition.
+async fn read_latest_catalog(node: &Node, part: PartitionId, epoch: u64) -> Option<Arc<Catalog>> {
     let mut read_up_to = node.operator_records_read.subscribe();
     loop {
         let from = *read_up_to.borrow_and_update();
         let read = node.log.read(OPERATORS, from, Duration::ZERO, CALL_TIMEOUT).await;
         let is_behind = match read {
-            Ok(batch) if batch.next <= *read_up_to.borrow() => return Some(node.configuration.load().catalog().ok()),
+            Ok(batch) if batch.next <= *read_up_to.borrow() => return Some(node.catalog()),
             // The other read finds out as well that the records have expired.
             Ok(_) | Err(Error::Expired { .. }) => true,
             Err(err) => {
