caller_api: leave room for the origin in a submission's record

A submission that an owner hands on gets an origin, and is longer then. One that just fitted into a record of the log would have been refused each time it is handed on, and its job, accepted, would never have run (LOST; found by reading). What an instance stores leaves room for it: 261,056 bytes instead of 262,080, in bodies of up to 262,144.

a_submission_grows_within_its_reserve_when_it_is_handed_on.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -16,7 +16,7 @@
 use oriolewall::acceptance::Route;
 use oriolewall::catalog::{Catalog, Queue};
 use oriolewall::id::{PoolId, TeamId};
-use oriolewall::job_record::{self, Addressee, JobKey, Submission};
+use oriolewall::job_record::{self, Addressee, JobKey, MAX_ORIGIN_BYTES, Submission};
 use oriolewall::pool_history::History;
 use oriolewall::query::JobStatus;
 use oriolewall::refusal::{Cause, PATIENCE};
@@ -31,9 +31,10 @@
 
 /// Maximum size of a request body, bytes. The platform has the same limit.
 const MAX_BODY_BYTES: usize = 262_144;
-/// Maximum size of a request's record, bytes: that of the log, less its key. Requests share
-/// appends, and one that the log refuses would fail the others.
-const MAX_RECORD_BYTES: usize = 262_144 - 64;
+/// Maximum size of a request's record, bytes: that of the log, less its key and what an owner adds
+/// when it hands the request on. Requests share appends, and one that the log refuses would fail
+/// the others.
+const MAX_RECORD_BYTES: usize = 262_144 - 64 - MAX_ORIGIN_BYTES;
 /// Deadline of a request that does not set one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 /// Time reserved before the caller's deadline for the response to reach the caller.
--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -20,6 +20,9 @@
 /// Identifies the cancellation of a job by callers of one team, or of a public queue.
 pub type CancelKey = (JobKey, Option<TeamId>);
 
+/// Most bytes by which an [`Origin`] with an address of up to 900 bytes lengthens a request.
+pub const MAX_ORIGIN_BYTES: usize = 1024;
+
 /// Separates the parts of the record key of a cancellation: the job and the team.
 const CANCEL_SEPARATOR: char = '!';
 
--- a/lib/tests/test_moved_queue.rs
+++ b/lib/tests/test_moved_queue.rs
@@ -5,7 +5,7 @@
 
 use oriolewall::id::{PoolId, TeamId};
 use oriolewall::inquiry::Holding;
-use oriolewall::job_record::{Addressee, JobKey, Origin, Request};
+use oriolewall::job_record::{Addressee, JobKey, MAX_ORIGIN_BYTES, Origin, Request};
 use oriolewall::query::JobStatus;
 use oriolewall::spec::JobSpec;
 use oriolewall::worker::ListedWorker;
@@ -419,3 +419,18 @@
     assert_eq!(rmp_serde::from_slice::<EarlierRequest>(&moved.to_bytes()).unwrap(), earlier);
     assert_eq!(rmp_serde::from_slice::<Request>(&moved.to_bytes()).unwrap(), moved);
 }
+
+#[test]
+fn a_submission_grows_within_its_reserve_when_it_is_handed_on() {
+    // The log would refuse the longer record each time, and the job would never run.
+    let plain = submit("team", vec![step(1, 1000)]);
+    let Request::Submit(mut submission) = plain.clone() else {
+        panic!("the request submits no job");
+    };
+    submission.origin = Some(Origin {
+        address: Arc::from("x".repeat(900)),
+        version: u64::MAX,
+    });
+    let grown = Request::Submit(submission).to_bytes();
+    assert!(grown.len() <= plain.to_bytes().len() + MAX_ORIGIN_BYTES);
+}
