scheduler, entry, dispatch: polls, limits, inputs and tasks in files of their own

Change: moves only. `polling` has what an owner does at each poll, `time_limits` its limits, `entry_event` and `entry_state` the inputs, actions and records of an entry instance, `running_task` the tasks in progress; functions that other modules call are pub(crate) now.

--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -12,9 +12,10 @@
 use oriolewall::job_record::{self, JobKey, JobRecord, Request};
 use oriolewall::quarantine::QUARANTINE_PREFIX;
 use oriolewall::rpc::PartitionId;
-use oriolewall::scheduler::{Scheduler, TimeLimits};
+use oriolewall::scheduler::Scheduler;
 use oriolewall::silent_worker::{SILENT_WORKER_PREFIX, SilentWorker};
 use oriolewall::spec;
+use oriolewall::time_limits::TimeLimits;
 use serde_json::json;
 use tokio::sync::mpsc;
 
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -5,141 +5,42 @@
 //! virtual-time tests run the same code and differ only in what performs the
 //! actions.
 //!
-//! This module holds the types and the tick. The other parts of the state
-//! machine are in `admission` (submissions and queries), `dispatch` (tasks on
-//! workers), `peer` (messages to other entries), `allotment` (slots of caps) and
-//! `adopt` (fenced members and shutdown).
+//! This module holds the state machine and its tick. `entry_event` has its inputs and
+//! actions, `entry_state` what it keeps of jobs, workers and members. Its other parts
+//! are in `admission` (submissions and queries), `dispatch` (starts of tasks),
+//! `running_task` (tasks in progress), `peer` (messages to other entries), `allotment`
+//! (slots of caps) and `adopt` (fenced members and shutdown).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use smallvec::SmallVec;
 
 use crate::adopt::Adoption;
 use crate::clock::Now;
 use crate::event::{self, Kind};
 use crate::health::WorkerHealth;
-use crate::id::{Attempt, InstanceId, JobId, MemberId, Offset, OpId, RackId, TeamId};
-use crate::job::{Completion, Job, NotRunReason, Outcome, Repeat, Status, UnknownReason};
+use crate::id::{InstanceId, JobId, MemberId, OpId, TeamId};
+use crate::job::{Outcome, Status};
 use crate::log_sync::{self, LogSync};
-use crate::platform::{self, ListedInstance, LogRead, Presence, TaskAttempt, WorkerRequest, WorkerResponse};
+use crate::platform::{self, ListedInstance, LogRead, Presence, TaskAttempt, WorkerRequest};
 use crate::queue::TeamQueues;
 use crate::record::Change;
 use crate::replica::Replica;
 use crate::setting;
 use crate::state::State;
-use crate::wire::{Frame, Gossip, Hold, Message};
+use crate::wire::{Hold, Message};
 
 pub use crate::config::{CapDivision, CatchUpSource, Policy, SchedulingPolicy, Settings, SettingsBuilder};
+pub use crate::entry_event::{Action, Event, Wait};
+pub(crate) use crate::entry_state::{CallPurpose, Delegation, JobSearch, LocalJob, PeerState, Phase, RunningTask, Timers, WorkerState};
 
 /// Identifies a caller's pending request; its [`Action::Reply`] carries the same id.
 pub type RequestId = u64;
 /// Identifies a call to a worker until it returns.
 pub type CallId = u64;
 
-/// An input of the state machine.
-#[derive(Debug)]
-pub enum Event {
-    /// Runs the periodic work; sent every few tens of milliseconds.
-    Tick,
-    /// A read of the log has returned.
-    Read {
-        /// Monotonic instant just before the read was sent.
-        sent: Duration,
-        /// The entries read.
-        result: Result<LogRead, platform::Error>,
-    },
-    /// An append to the log has returned.
-    Appended(Result<Offset, platform::Error>),
-    /// A read of the instance list has returned.
-    Listed(Result<Vec<ListedInstance>, platform::Error>),
-    /// A call to a worker has returned.
-    CallReturned {
-        /// Id from the [`Action::Call`].
-        id: CallId,
-        /// Monotonic instant just before the call was sent.
-        sent: Duration,
-        /// The worker's response.
-        result: Result<WorkerResponse, platform::Error>,
-    },
-    /// A frame from a peer has arrived.
-    FrameReceived(Frame),
-    /// A caller submits a job; its key has already been verified.
-    Submit {
-        /// Request to answer once the job has ended.
-        request_id: RequestId,
-        /// The job to run.
-        job: Job,
-    },
-    /// A caller asks for the status of a job.
-    Query {
-        /// Request to answer.
-        request_id: RequestId,
-        /// Id of the job.
-        job: JobId,
-        /// When to answer.
-        wait: Wait,
-    },
-    /// A caller cancels a job.
-    Cancel {
-        /// Id of the job.
-        job: JobId,
-    },
-    /// The caller of this request has disconnected and needs no reply.
-    CallerDisconnected(RequestId),
-    /// An operator blocks starts directly, ahead of the record in the log.
-    Hold(Hold),
-    /// Requests a graceful stop of the process.
-    Stop,
-}
-
-/// When a query is answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wait {
-    /// Once the job has ended.
-    UntilEnded,
-    /// Immediately, with the current status.
-    No,
-}
-
-/// An output of the state machine, for its caller to perform.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send a request to the log.
-    Log(log_sync::LogRequest),
-    /// Read the instance list.
-    List,
-    /// Call a worker.
-    Call {
-        /// Id to return with the response in [`Event::CallReturned`].
-        id: CallId,
-        /// Instance that the worker runs on.
-        instance: InstanceId,
-        /// Address of the worker.
-        addr: SocketAddr,
-        /// Request to send.
-        request: WorkerRequest,
-    },
-    /// Send messages to a peer.
-    Send {
-        /// Member that receives the frame.
-        to: MemberId,
-        /// Address of that member.
-        addr: SocketAddr,
-        /// Frame to send.
-        frame: Frame,
-    },
-    /// Answer a caller.
-    Reply {
-        /// Request that this answers.
-        request_id: RequestId,
-        /// Status of the job; `None` if no entry that was asked has it.
-        status: Option<Status>,
-    },
-}
-
 /// State machine of one incarnation of an entry instance.
 #[derive(Debug)]
 pub struct Entry {
@@ -225,133 +126,6 @@
     pub refused: u64,
 }
 
-/// Monotonic instants that the periodic work depends on.
-#[derive(Debug, Default)]
-pub(crate) struct Timers {
-    pub(crate) last_tick: Duration,
-    /// End of the last pause of this process; earlier silence of peers is ignored.
-    pub(crate) resumed_at: Duration,
-    pub(crate) next_gossip_at: Duration,
-    pub(crate) next_list_at: Duration,
-    pub(crate) next_allotment_at: Duration,
-    pub(crate) next_pull_at: Duration,
-    pub(crate) next_delegation_check_at: Duration,
-}
-
-/// What this entry knows of another member.
-#[derive(Debug, Default)]
-pub(crate) struct PeerState {
-    /// When the last frame from the peer arrived.
-    pub(crate) last_heard_at: Duration,
-    pub(crate) gossip: Gossip,
-    /// When the latest answered `Pull` was sent, if the peer's answer confirmed
-    /// that the log is down for it and that its replica is not ahead of this one.
-    pub(crate) outage_agreed_at: Option<Duration>,
-}
-
-/// What this entry knows of a worker beyond the shared state.
-#[derive(Debug, Default)]
-pub(crate) struct WorkerState {
-    /// Tasks of this entry on the worker.
-    pub(crate) own_tasks: u32,
-    /// No starts before this instant, because the worker reported that it was full.
-    pub(crate) full_until: Duration,
-    /// No starts before this instant, because the worker was unreachable or leaving.
-    pub(crate) avoid_until: Duration,
-    /// Current backoff after failed calls; zero once a start has succeeded.
-    pub(crate) avoid_backoff: Duration,
-}
-
-/// A job that this entry has accepted; removed some time after it has ended.
-#[derive(Debug)]
-pub(crate) struct LocalJob {
-    pub(crate) job: Job,
-    /// Requests to answer when the job ends.
-    pub(crate) waiting_requests: SmallVec<[RequestId; 1]>,
-    /// Members to report the outcome to until they acknowledge it.
-    pub(crate) report_to: SmallVec<[MemberId; 1]>,
-    pub(crate) phase: Phase,
-    /// Number of the latest attempt; zero before the first.
-    pub(crate) attempts: Attempt,
-    /// An attempt was made that may have run, so "not run" is no longer a valid outcome.
-    pub(crate) may_have_run: bool,
-    /// Workers, with their racks, that answered with a failure.
-    pub(crate) failed_on: SmallVec<[(InstanceId, RackId); 2]>,
-    pub(crate) accepted_at: Duration,
-}
-
-/// Where a job stands at this entry.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Phase {
-    /// Must not be repeated, and this entry has not yet established who owns its id.
-    Claiming,
-    /// In its team's queue.
-    Queued,
-    /// Not started here. Before it ends as "not run", peers are asked whether
-    /// they have it.
-    Confirming(NotRunReason),
-    /// Started on a worker, or the start is under way.
-    Running(TaskAttempt),
-    /// Assigned to another entry, which may not have confirmed it yet.
-    Delegated(Delegation),
-    /// Ended with this outcome.
-    Ended(Outcome),
-}
-
-/// An assignment of a job to another entry.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Delegation {
-    pub(crate) to: MemberId,
-    pub(crate) role: crate::wire::Role,
-    /// Whether the other entry has reported that it has the job.
-    pub(crate) acked: bool,
-    /// When the assignment was last sent or confirmed.
-    pub(crate) last_exchange_at: Duration,
-}
-
-/// A task on a worker that holds a slot of this entry.
-#[derive(Debug)]
-pub(crate) struct RunningTask {
-    pub(crate) team: TeamId,
-    pub(crate) instance: InstanceId,
-    pub(crate) addr: SocketAddr,
-    pub(crate) started_at: Duration,
-    /// The worker refuses the start after this instant.
-    pub(crate) start_by: Duration,
-    /// Whether the worker has confirmed that the task started.
-    pub(crate) start_confirmed: bool,
-    /// When the lease has expired at the latest, also by the worker's clock.
-    pub(crate) lease_expires_at: Duration,
-    pub(crate) next_renewal_at: Duration,
-    /// When to send the next wait; `None` while one is under way.
-    pub(crate) next_wait_at: Option<Duration>,
-    /// The job has ended or continues without this task. Its slot stays in use
-    /// until the task ends or its lease expires.
-    pub(crate) detached: bool,
-}
-
-/// Why a worker was called, to interpret its response.
-#[derive(Clone, Debug)]
-pub(crate) enum CallPurpose {
-    Start(TaskAttempt),
-    Wait(TaskAttempt),
-    Renew(TaskAttempt),
-    Stop,
-    List(InstanceId),
-    Adopt(TaskAttempt, InstanceId),
-}
-
-/// A job that peers have been asked for.
-#[derive(Debug, Default)]
-pub(crate) struct JobSearch {
-    /// Queries to answer when the job is found or the search expires.
-    pub(crate) waiting_requests: SmallVec<[RequestId; 1]>,
-    /// Members that answered that they do not have the job and will not accept
-    /// it as its owner.
-    pub(crate) members_without_job: BTreeSet<MemberId>,
-    pub(crate) expires_at: Duration,
-}
-
 impl Entry {
     /// Creates a new incarnation and queues the record that joins it to the members.
     pub fn new(settings: Settings, replica: Replica, now: Now) -> Entry {
@@ -699,59 +473,3 @@
         }
     }
 }
-
-impl LocalJob {
-    pub(crate) fn new(job: Job, now: Now, phase: Phase) -> LocalJob {
-        LocalJob {
-            job,
-            waiting_requests: SmallVec::new(),
-            report_to: SmallVec::new(),
-            phase,
-            attempts: 0,
-            may_have_run: false,
-            failed_on: SmallVec::new(),
-            accepted_at: now.mono,
-        }
-    }
-
-    pub(crate) fn status(&self) -> Status {
-        match &self.phase {
-            Phase::Claiming | Phase::Queued | Phase::Confirming(_) | Phase::Delegated(_) => Status::Queued,
-            Phase::Running(_) => Status::Running,
-            Phase::Ended(outcome) => Status::Ended(outcome.clone()),
-        }
-    }
-
-    /// Replaces "not run" by "unknown" if an attempt may have run.
-    fn known_outcome(&self, outcome: Outcome) -> Outcome {
-        match outcome {
-            Outcome::NotRun(NotRunReason::Deadline) if self.may_have_run => Outcome::Unknown(UnknownReason::Deadline),
-            Outcome::NotRun(NotRunReason::Cancelled) if self.may_have_run => Outcome::Unknown(UnknownReason::Cancelled),
-            Outcome::NotRun(_) if self.may_have_run => Outcome::Unknown(UnknownReason::WorkerLost),
-            outcome => outcome,
-        }
-    }
-
-    /// Whether the job must not be started a second time.
-    pub(crate) fn is_at_most_once(&self) -> bool {
-        self.job.repeat == Repeat::Forbidden
-    }
-}
-
-impl Phase {
-    pub(crate) fn is_ended(&self) -> bool {
-        matches!(self, Phase::Ended(_))
-    }
-}
-
-impl Outcome {
-    /// Short text for the event of the job's end.
-    pub fn describe(&self) -> String {
-        match self {
-            Outcome::Done(Completion { success: true, .. }) => "done".to_owned(),
-            Outcome::Done(Completion { success: false, .. }) => "failed".to_owned(),
-            Outcome::NotRun(reason) => format!("not run: {reason}"),
-            Outcome::Unknown(reason) => format!("unknown: {reason}"),
-        }
-    }
-}
--- a/lib/src/job.rs
+++ b/lib/src/job.rs
@@ -147,3 +147,15 @@
     /// Ended with this outcome.
     Ended(Outcome),
 }
+
+impl Outcome {
+    /// Short text for the event of the job's end.
+    pub fn describe(&self) -> String {
+        match self {
+            Outcome::Done(Completion { success: true, .. }) => "done".to_owned(),
+            Outcome::Done(Completion { success: false, .. }) => "failed".to_owned(),
+            Outcome::NotRun(reason) => format!("not run: {reason}"),
+            Outcome::Unknown(reason) => format!("unknown: {reason}"),
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -55,6 +55,7 @@
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`owner_shortage`]: when instances with little CPU own partitions.
 //! - [`reachability`]: whether the log answers an instance.
+//! - [`time_limits`]: time limits of an owner's leases and ownership.
 //! - [`tenure`]: whether another owner may have held a partition meanwhile.
 //! - [`order_history`]: recent orders of fleet coordinators to instances.
 //! - [`advice`]: advice on which workers may run a step.
@@ -77,6 +78,8 @@
 pub mod decision;
 mod dispatch;
 pub mod entry;
+mod entry_event;
+mod entry_state;
 pub mod estimate;
 pub mod event;
 mod eviction;
@@ -99,6 +102,7 @@
 mod peer;
 mod placement;
 pub mod platform;
+mod polling;
 pub mod pool_history;
 pub mod quarantine;
 pub mod query;
@@ -114,6 +118,7 @@
 pub mod resources;
 pub mod rpc;
 mod run_end;
+mod running_task;
 pub mod scheduler;
 pub mod setting;
 pub mod share;
@@ -124,6 +129,7 @@
 pub mod state;
 pub mod tenure;
 mod throttle;
+pub mod time_limits;
 pub mod tree;
 pub mod wave;
 pub mod wire;
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -25,73 +25,22 @@
 use crate::order::{Action, TokenForm};
 use crate::resources::Resources;
 use crate::start_window::Window;
+use crate::time_limits::TimeLimits;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
 
 /// Time after which a worker must no longer carry out an order to start a run.
 /// Ten times the slowest answer of a healthy worker across zones.
 pub(crate) const START_EXPIRY: Duration = Duration::from_millis(1000);
-/// Longest time for which a worker delays its answer to a status request until a run ends.
-const STATUS_WAIT: Duration = Duration::from_millis(1500);
-/// The same while best-effort tasks are throttled on the worker: their speed follows the
-/// measurements in its status.
-const STATUS_WAIT_THROTTLED: Duration = Duration::from_millis(500);
 /// Minimum time between two status requests to a worker; runs that end within it are
 /// reported together.
 pub(crate) const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(60);
-/// Minimum time between two status requests to a worker while a commit is delayed.
-const STATUS_INTERVAL_COMMIT_DELAYED: Duration = Duration::from_millis(500);
 /// Time after a failed status request until the next one.
 pub(crate) const STATUS_RETRY: Duration = Duration::from_millis(400);
-/// Time after which a stop order is repeated if the run has not ended.
-const STOP_RETRY: Duration = Duration::from_millis(500);
 /// Most ended runs in one worker status; more may follow a full page.
 pub(crate) const ENDS_PAGE_SIZE: usize = 500;
 /// Time without new placements after a worker refused a task for lack of capacity.
 pub(crate) const PLACEMENT_PAUSE: Duration = Duration::from_millis(200);
 
-/// Upper bound of the true time in which a worker's clock advances by one second.
-/// The platform guarantees clocks at most 2% slow; the remaining 1% covers rounding.
-const SLOWEST_CLOCK: f64 = 1.03;
-
-/// Time limits for leases, for ownership and for the stopping of tasks.
-#[derive(Clone, Copy, Debug)]
-pub struct TimeLimits {
-    /// Length of the leases that the owner requests.
-    pub lease: Duration,
-    /// Longest lease that workers grant, whatever is requested.
-    pub lease_max: Duration,
-    /// Time after the last confirmation of ownership during which runs are started and leases
-    /// are renewed.
-    pub renewal_window: Duration,
-    /// Longest time that a worker takes to stop a task.
-    pub stop_time: Duration,
-}
-
-impl TimeLimits {
-    /// True time after which a lease has ended even on the slowest clock.
-    pub(crate) fn lease_upper_bound(&self) -> Duration {
-        self.lease.mul_f64(SLOWEST_CLOCK)
-    }
-
-    /// The same for the longest lease that a worker grants. It applies where an earlier
-    /// incarnation of the worker may have been sent a deadline on another clock.
-    pub(crate) fn longest_lease_upper_bound(&self) -> Duration {
-        self.lease_max.mul_f64(SLOWEST_CLOCK)
-    }
-
-    /// Time from a takeover until leases that earlier owners granted have ended. They renewed
-    /// leases, each for at most `lease`, until their renewal window ended.
-    pub(crate) fn inherited_leases(&self, lease: Duration) -> Duration {
-        self.renewal_window + lease + START_EXPIRY
-    }
-
-    /// Whether an incarnation of a worker is so recent that a renewal for the clock of an earlier
-    /// one may have given it the longest lease.
-    pub(crate) fn may_have_longest_lease(&self, now: Now, started_ms: u64) -> bool {
-        now.wall < Duration::from_millis(started_ms) + 2 * self.longest_lease_upper_bound()
-    }
-}
-
 /// A job's record with the state that is not written to the log.
 #[derive(Debug)]
 pub(crate) struct TrackedJob {
@@ -408,133 +357,6 @@
         });
     }
 
-    /// Advances the state machine and returns the actions to carry out, in order. A
-    /// fenced owner only returns actions that were decided before.
-    pub fn poll(&mut self, now: Now) -> Vec<Action> {
-        if self.fenced {
-            return std::mem::take(&mut self.actions);
-        }
-        self.restart_inquiries(now);
-        self.send_questions(now);
-        self.expire_leases(now);
-        // Placements take effect with the next commit, so making them earlier gains nothing.
-        if self.can_commit(now) {
-            self.candidates = Candidates::collect(now.mono, self.workers.values());
-            self.evict(now);
-            self.place_waiting_tasks(now);
-        }
-        self.send_stop_orders(now);
-        self.fetch_statuses(now);
-        self.clean_up(now);
-        self.commit(now);
-        self.drop_stale_starts();
-        std::mem::take(&mut self.actions)
-    }
-
-    /// Requeues the tasks of workers that are silent or no longer listed and whose leases
-    /// have ended.
-    fn expire_leases(&mut self, now: Now) {
-        let has_expired = |it: &Worker| it.leases_have_ended(now.mono) && (it.missed_answers != 0 || !it.is_listed) && !it.runs.is_empty();
-        let expired: Vec<InstanceId> = self
-            .workers
-            .values()
-            .filter(|it| has_expired(it))
-            .map(|it| it.listed.id.clone())
-            .collect();
-        for id in expired {
-            let worker = self.workers.get_mut(&id).expect("the id comes from the map");
-            let lost = worker.clear();
-            self.begin_contact(now, &id);
-            self.requeue_lost_runs(&id, lost, "lease_over");
-        }
-    }
-
-    /// Sends stop orders that are due to workers that answer.
-    fn send_stop_orders(&mut self, now: Now) {
-        for worker in self.workers.values_mut() {
-            if !worker.is_observed || worker.missed_answers != 0 {
-                continue;
-            }
-            for (key, run) in &mut worker.runs {
-                let due = run.stop_sent_at.is_none_or(|it| it + STOP_RETRY <= now.mono);
-                if run.phase == RunPhase::Stopping && due {
-                    run.stop_sent_at = Some(now.mono);
-                    self.actions.push(Action::Stop {
-                        worker: worker.listed.id.clone(),
-                        contact: worker.contact,
-                        key: key.clone(),
-                    });
-                }
-            }
-        }
-    }
-
-    /// Requests the status of workers that may have runs, that list ended runs, that missed an
-    /// answer, or that this owner has not observed yet. The request also renews the leases there.
-    fn fetch_statuses(&mut self, now: Now) {
-        let commit_delayed = self.in_flight_commit.is_some() && self.last_commit + STATUS_INTERVAL_COMMIT_DELAYED < now.mono;
-        let may_renew = !self.ownership_left(now).is_zero();
-        for worker in self.workers.values_mut() {
-            let may_have_runs = worker.runs.values().any(|it| it.phase != RunPhase::Intended);
-            // Only an answer makes a worker take tasks again, and none without runs would be asked.
-            let is_out_of_contact = worker.is_listed && (worker.missed_answers != 0 || worker.has_unreadable_rows);
-            let is_due = !worker.is_observed || may_have_runs || is_out_of_contact || worker.last_end_recorded < worker.last_end_seen;
-            if worker.status_requested || !is_due || now.mono < worker.next_status_request || worker.listed.addr.port() == 0 {
-                continue;
-            }
-            // The worker would answer at once with the ended runs that are not recorded yet.
-            let has_unrecorded_ends = worker.last_end_recorded < worker.last_end_seen;
-            if has_unrecorded_ends && !commit_delayed && worker.missed_answers == 0 && worker.is_observed {
-                continue;
-            }
-            let lease_until_ms = worker.clock_ms(now.mono).map(|it| it + self.limits.lease.as_millis() as u64);
-            // Renewing for a worker that does not answer would put off the end of its leases
-            // forever, and its tasks could never be placed elsewhere.
-            let lease_until_ms =
-                lease_until_ms.filter(|_| may_renew && may_have_runs && worker.missed_answers == 0 && worker.silence_recorded_at.is_none());
-            if let Some(lease_until_ms) = lease_until_ms {
-                worker.extend_leases(lease_until_ms);
-            }
-            worker.status_requested = true;
-            if commit_delayed {
-                worker.next_status_request = now.mono + STATUS_INTERVAL_COMMIT_DELAYED;
-            }
-            let is_throttled = worker.speed_percent < 100;
-            let wait = match worker.is_observed && may_have_runs && !commit_delayed {
-                true if is_throttled => STATUS_WAIT_THROTTLED,
-                true => STATUS_WAIT,
-                false => Duration::ZERO,
-            };
-            self.actions.push(Action::FetchStatus {
-                worker: worker.listed.id.clone(),
-                contact: worker.contact,
-                // A new incarnation counts its ends anew, so these numbers are not those of its own.
-                ack_cursor: if worker.is_observed { worker.last_end_recorded } else { 0 },
-                lease_until_ms,
-                wait,
-            });
-        }
-    }
-
-    /// When `poll` must be called again if no event arrives before.
-    pub fn next_poll(&self, now: Now) -> Duration {
-        let requests = self
-            .workers
-            .values()
-            .filter(|it| !it.status_requested)
-            .map(|it| it.next_status_request);
-        let next = requests.filter(|it| now.mono < *it).min().unwrap_or(now.mono + STATUS_WAIT);
-        // Tasks that arrived since the last commit are placed when the next one is due.
-        let commit = match self.in_flight_commit.is_none() && now.mono < self.next_commit_at() {
-            true => self.next_commit_at(),
-            false => next,
-        };
-        let question = self.next_question_at().unwrap_or(next);
-        next.min(commit)
-            .min(question)
-            .clamp(now.mono + Duration::from_millis(5), now.mono + Duration::from_millis(250))
-    }
-
     /// Resources that a team may use in these pools: its granted share, at most its cap.
     /// A cap of zero means that the resource is not limited.
     pub(crate) fn team_limit(&self, team: &TeamId) -> Resources {
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -12,9 +12,10 @@
 use oriolewall::job_record::{CancelKey, JobKey, JobRecord, Request, Submission, TaskKey};
 use oriolewall::order::{Action, ActiveRun, ContactId, OrderOutcome, RunEnd, RunOutcome, StartOrder, TokenForm, WorkerStatus};
 use oriolewall::resources::Resources;
-use oriolewall::scheduler::{Scheduler, TimeLimits};
+use oriolewall::scheduler::Scheduler;
 use oriolewall::silent_worker::SILENT_WORKER_PREFIX;
 use oriolewall::spec::{JobSpec, Step};
+use oriolewall::time_limits::TimeLimits;
 use oriolewall::worker::{ListedWorker, RunKey};
 
 /// Length of the leases that the owner requests.
