--- a/bench/src/check/simulation.rs
+++ b/bench/src/check/simulation.rs
@@ -6,35 +6,36 @@
 //! configuration, load, fault schedule and seed.
 
 mod callers;
+mod event;
+mod faults;
+mod log;
 mod operators;
+mod workers;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use oriolewall::clock::Now;
 use oriolewall::entry::{Action, Entry, Event, Lifecycle, Policy, Settings};
-use oriolewall::id::{InstanceId, MemberId, Offset};
-use oriolewall::log_sync::LogRequest;
+use oriolewall::id::{InstanceId, MemberId};
 use oriolewall::maintain::{self, Maintainer};
-use oriolewall::platform::{Error, ListedInstance, LogRead, WorkerRequest, WorkerResponse};
-use oriolewall::record::{Change, Payload, Record};
+use oriolewall::record::Change;
 use oriolewall::replica::Replica;
 use oriolewall::state::State;
-use oriolewall::wire::Frame;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use uuid::Uuid;
 
-use crate::check::fault::{Fault, FaultSchedule, Location};
+use crate::check::fault::{FaultSchedule, Location};
 use crate::check::load::Load;
 use crate::history::{EventKind, History};
 use crate::standin::list::DelayedInstanceList;
 use crate::standin::log::{InMemoryLog, Mode};
 use crate::standin::worker::Worker;
 use callers::Callers;
+use event::{Client, ScheduledEvent, SimEvent};
 pub use operators::Operators;
 
 /// Wall-clock time, since the Unix epoch, at which every simulation starts.
@@ -47,10 +48,6 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time by which the instance list lags behind the instances.
 const LIST_LAG: Duration = Duration::from_millis(1_500);
-/// Time after which a request to the log or the instance list without a response is lost.
-const LOG_TIMEOUT: Duration = Duration::from_secs(8);
-/// Time after which a call to a worker is lost, in addition to the time that it may wait.
-const WORKER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest deviation of a wall clock from the true time, in either direction.
 const MAX_CLOCK_SKEW_MS: u64 = 100;
 /// Number of latest entries that the log retains.
@@ -112,92 +109,6 @@
     maintainer: Maintainer,
 }
 
-/// Something that happens at one time. Processes are given by index, entry instances
-/// also by incarnation.
-enum SimEvent {
-    /// Periodic tick of an entry instance.
-    EntryTick(usize, u64),
-    /// An event reaches the state machine of an entry instance.
-    EntryInput(usize, u64, Event),
-    /// Periodic tick of a maintenance process.
-    MaintainerTick(usize),
-    /// An event reaches the state machine of a maintenance process.
-    MaintainerInput(usize, maintain::Event),
-    /// A read reaches the log, or is tried again because there were no entries.
-    LogRead {
-        client: Client,
-        from: Offset,
-        /// Time until which the log waits for an entry.
-        wait_until: Duration,
-        /// Monotonic time of the client when it sent the read.
-        sent: Duration,
-    },
-    /// An append reaches the log.
-    LogAppend { client: Client, entry: Bytes },
-    /// A read reaches the instance list.
-    ListRead { client: Client },
-    /// A request reaches a worker, or is tried again because the task still runs.
-    WorkerCall {
-        client: Client,
-        /// Id that an entry instance gave the call; zero for a maintenance process.
-        id: u64,
-        instance: InstanceId,
-        request: WorkerRequest,
-        /// Monotonic time of the client when it sent the request.
-        sent: Duration,
-        /// Time until which the worker waits for the end of the task.
-        wait_until: Duration,
-    },
-    /// The next incarnation of an entry instance starts.
-    StartEntry(usize),
-    /// A fault or an operator's action begins.
-    BeginFault(Fault),
-    /// A fault ends.
-    EndFault(Fault),
-    /// The history records how far entry instances have applied the log.
-    Sample,
-    /// A caller acts.
-    Caller(callers::CallerAction),
-    /// An operator acts.
-    Operator(operators::OperatorAction),
-}
-
-/// Process that called the platform or a worker.
-#[derive(Clone, Debug)]
-enum Client {
-    /// Index and incarnation of an entry instance.
-    Entry(usize, u64),
-    /// Index of a maintenance process.
-    Maintenance(usize),
-}
-
-/// An event in the queue, ordered by time and then by sequence number.
-struct ScheduledEvent {
-    at: Duration,
-    seq: u64,
-    event: SimEvent,
-}
-
-impl PartialEq for ScheduledEvent {
-    fn eq(&self, other: &ScheduledEvent) -> bool {
-        (self.at, self.seq) == (other.at, other.seq)
-    }
-}
-
-impl Eq for ScheduledEvent {}
-
-impl PartialOrd for ScheduledEvent {
-    fn partial_cmp(&self, other: &ScheduledEvent) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for ScheduledEvent {
-    fn cmp(&self, other: &ScheduledEvent) -> std::cmp::Ordering {
-        (self.at, self.seq).cmp(&(other.at, other.seq))
-    }
-}
-
 /// A simulated cluster and the state of its run.
 pub struct Simulation {
     /// History of the run, for checks and reports.
@@ -492,302 +403,6 @@
         }
     }
 
-    fn location(&self, client: &Client) -> Location {
-        match client {
-            Client::Entry(index, _) => Location::Zone(self.entry_processes[*index].zone),
-            Client::Maintenance(index) => Location::Zone(self.maintenance_processes[*index].zone),
-        }
-    }
-
-    fn is_cut(&self, from: Location, to: Location) -> bool {
-        self.cut_links.contains(&(from, to))
-    }
-
-    /// Random latency of a message: 0.1 to 0.4 ms within a location, 1.3 to 1.8 ms between two.
-    fn latency(&mut self, from: Location, to: Location) -> Duration {
-        let micros = if from == to {
-            self.rng.random_range(100..400)
-        } else {
-            self.rng.random_range(1_300..1_800)
-        };
-        Duration::from_micros(micros)
-    }
-
-    /// Sends a request to the log. A cut link loses it, a slow log delays it.
-    fn send_log_request(&mut self, client: Client, request: LogRequest) {
-        let location = self.location(&client);
-        let sent = Duration::from_secs(1_000) + self.now;
-        if self.is_cut(location, Location::Platform) {
-            self.fail_log_request(client, request, sent);
-            return;
-        }
-        let mut at = self.now + self.latency(location, Location::Platform);
-        if let Mode::Slow { ms } = self.log.mode {
-            at += Duration::from_millis(ms);
-        }
-        match request {
-            LogRequest::Read { from, wait } => self.schedule(
-                at,
-                SimEvent::LogRead {
-                    client,
-                    from,
-                    wait_until: at + wait,
-                    sent,
-                },
-            ),
-            LogRequest::Append(entry) => self.schedule(at, SimEvent::LogAppend { client, entry }),
-        }
-    }
-
-    fn fail_log_request(&mut self, client: Client, request: LogRequest, sent: Duration) {
-        let at = self.now + LOG_TIMEOUT;
-        match request {
-            LogRequest::Read { .. } => self.deliver_read(at, client, sent, Err(Error::Lost)),
-            LogRequest::Append(_) => self.deliver_append(at, client, Err(Error::Lost)),
-        }
-    }
-
-    fn deliver_read(&mut self, at: Duration, client: Client, sent: Duration, result: Result<LogRead, Error>) {
-        match client {
-            Client::Entry(index, incarnation) => self.schedule(at, SimEvent::EntryInput(index, incarnation, Event::Read { sent, result })),
-            Client::Maintenance(index) => self.schedule(at, SimEvent::MaintainerInput(index, maintain::Event::Read { sent, result })),
-        }
-    }
-
-    fn deliver_append(&mut self, at: Duration, client: Client, result: Result<Offset, Error>) {
-        match client {
-            Client::Entry(index, incarnation) => self.schedule(at, SimEvent::EntryInput(index, incarnation, Event::Appended(result))),
-            Client::Maintenance(index) => self.schedule(at, SimEvent::MaintainerInput(index, maintain::Event::Appended(result))),
-        }
-    }
-
-    fn handle_log_read(&mut self, client: Client, from: Offset, wait_until: Duration, sent: Duration) {
-        const POLL_INTERVAL: Duration = Duration::from_millis(4);
-        if self.log.tail() <= from && self.now < wait_until && self.log.mode != Mode::Down {
-            let retry = SimEvent::LogRead {
-                client,
-                from,
-                wait_until,
-                sent,
-            };
-            self.schedule(self.now + POLL_INTERVAL, retry);
-            return;
-        }
-        let result = self.log.read(from);
-        let location = self.location(&client);
-        let lost = self.is_cut(Location::Platform, location);
-        let at = self.now
-            + if lost {
-                LOG_TIMEOUT
-            } else {
-                self.latency(Location::Platform, location)
-            };
-        self.deliver_read(at, client, sent, if lost { Err(Error::Lost) } else { result });
-    }
-
-    fn handle_log_append(&mut self, client: Client, entry: Bytes) {
-        let result = self.append(entry);
-        let location = self.location(&client);
-        let lost = self.is_cut(Location::Platform, location) || result == Err(Error::Lost);
-        let at = self.now
-            + if lost {
-                LOG_TIMEOUT
-            } else {
-                self.latency(Location::Platform, location)
-            };
-        self.deliver_append(at, client, if lost { Err(Error::Lost) } else { result });
-    }
-
-    /// Appends an entry to the log. If it was stored, also when the response is lost,
-    /// applies it to the committed state and records the changes in the history.
-    fn append(&mut self, entry: Bytes) -> Result<Offset, Error> {
-        let offset = self.log.tail();
-        let result = self.log.append(self.now, entry.clone());
-        if self.log.tail() == offset {
-            return result;
-        }
-        self.append_count += 1;
-        if let Ok(payload) = Payload::decode(&entry) {
-            self.committed_state.apply(&payload);
-            self.record_payload(offset, &payload);
-        }
-        result
-    }
-
-    /// Records in the history what the accepted records of a log entry changed.
-    fn record_payload(&mut self, offset: Offset, payload: &Payload) {
-        let at_ms = self.now_ms();
-        self.history.record(at_ms, EventKind::Accepted { offset });
-        let Payload::Records(records) = payload else {
-            return;
-        };
-        let accepted = |it: &&Record| self.committed_state.outcome(&it.op) == Some(&oriolewall::state::RecordOutcome::Accepted(offset));
-        let records: Vec<&Record> = records.iter().filter(accepted).collect();
-        let changes_fleet = records.iter().any(|it| is_fleet_change(&it.change));
-        let granted = records.iter().any(|it| matches!(it.change, Change::Permit { .. }));
-        if changes_fleet {
-            crate::history::record_fleet(&self.history, at_ms, &self.committed_state, granted);
-        }
-        for record in records {
-            for kind in operators::events_of_change(&record.change, &self.committed_state) {
-                self.history.record(at_ms, kind);
-            }
-        }
-    }
-
-    /// Appends a change of the set-up, dated an hour before the start.
-    fn append_initial_change(&mut self, change: Change) {
-        let mut bytes = [0u8; 10];
-        self.rng.fill(&mut bytes);
-        let wall_ms = self.true_wall_ms() - 3_600_000;
-        let op = uuid::Builder::from_unix_timestamp_millis(wall_ms, &bytes).into_uuid();
-        let record = Record {
-            op,
-            author: "operator".to_owned(),
-            wall_ms,
-            change,
-        };
-        let entry = Payload::Records(vec![record]).encode();
-        // The rate limit of the log does not apply to the set-up.
-        self.log.reset_rate_limit();
-        let _ = self.append(entry);
-    }
-
-    fn send_list_request(&mut self, client: Client) {
-        let location = self.location(&client);
-        let lost = self.is_cut(location, Location::Platform) || self.is_cut(Location::Platform, location);
-        if lost {
-            self.deliver_list(self.now + LOG_TIMEOUT, client, Err(Error::Lost));
-            return;
-        }
-        let at = self.now + self.latency(location, Location::Platform);
-        self.schedule(at, SimEvent::ListRead { client });
-    }
-
-    fn handle_list_read(&mut self, client: Client) {
-        let location = self.location(&client);
-        let list = self.list.read(self.now);
-        let at = self.now + self.latency(Location::Platform, location);
-        self.deliver_list(at, client, Ok(list));
-    }
-
-    fn deliver_list(&mut self, at: Duration, client: Client, result: Result<Vec<ListedInstance>, Error>) {
-        match client {
-            Client::Entry(index, incarnation) => self.schedule(at, SimEvent::EntryInput(index, incarnation, Event::Listed(result))),
-            Client::Maintenance(index) => self.schedule(at, SimEvent::MaintainerInput(index, maintain::Event::Listed(result))),
-        }
-    }
-
-    /// Sends a request to a worker, over a link within the zone that is never cut.
-    fn send_worker_request(&mut self, client: Client, id: u64, instance: InstanceId, request: WorkerRequest) {
-        let sent = Duration::from_secs(1_000) + self.now;
-        let wait = match &request {
-            WorkerRequest::Wait { wait_ms, .. } => Duration::from_millis(*wait_ms),
-            _ => Duration::ZERO,
-        };
-        let location = self.location(&client);
-        let mut at = self.now + self.latency(location, location);
-        if let (WorkerRequest::Start(_), Some(by)) = (&request, self.start_delay)
-            && self.rng.random_bool(0.2)
-        {
-            at += by;
-        }
-        self.schedule(
-            at,
-            SimEvent::WorkerCall {
-                client,
-                id,
-                instance,
-                request,
-                sent,
-                wait_until: at + wait,
-            },
-        );
-    }
-
-    fn handle_worker_call(
-        &mut self,
-        client: Client,
-        id: u64,
-        instance: InstanceId,
-        request: WorkerRequest,
-        sent: Duration,
-        wait_until: Duration,
-    ) {
-        const POLL_INTERVAL: Duration = Duration::from_millis(10);
-        let now_ms = self.true_wall_ms();
-        let start_wall_ms = START_WALL_TIME.as_millis() as u64;
-        let Some((_, worker)) = self.workers.get_mut(&instance) else {
-            let at = sent - Duration::from_secs(1_000) + WORKER_TIMEOUT;
-            self.deliver_worker_response(at.max(self.now), client, id, instance, sent, Err(Error::Lost));
-            return;
-        };
-        let request = request.into_simulation_time(start_wall_ms);
-        let response = worker.handle(now_ms - start_wall_ms, &request);
-        if response == Some(WorkerResponse::Pending) && self.now < wait_until {
-            self.schedule(
-                self.now + POLL_INTERVAL,
-                SimEvent::WorkerCall {
-                    client,
-                    id,
-                    instance,
-                    request: request.into_wall_time(start_wall_ms),
-                    sent,
-                    wait_until,
-                },
-            );
-            return;
-        }
-        let timeout_at = sent - Duration::from_secs(1_000) + WORKER_TIMEOUT + (wait_until - self.now.min(wait_until));
-        let location = self.location(&client);
-        let reply_at = self.now + self.latency(location, location);
-        match response {
-            // A response after the timeout of the client is lost.
-            Some(response) if reply_at <= timeout_at.max(wait_until + WORKER_TIMEOUT) => {
-                self.deliver_worker_response(reply_at, client, id, instance, sent, Ok(response));
-            }
-            _ => self.deliver_worker_response(timeout_at.max(self.now), client, id, instance, sent, Err(Error::Lost)),
-        }
-    }
-
-    fn deliver_worker_response(
-        &mut self,
-        at: Duration,
-        client: Client,
-        id: u64,
-        instance: InstanceId,
-        sent: Duration,
-        result: Result<WorkerResponse, Error>,
-    ) {
-        match client {
-            Client::Entry(index, incarnation) => self.schedule(
-                at,
-                SimEvent::EntryInput(index, incarnation, Event::CallReturned { id, sent, result }),
-            ),
-            Client::Maintenance(index) => self.schedule(at, SimEvent::MaintainerInput(index, maintain::Event::Called { instance, result })),
-        }
-    }
-
-    /// Sends a frame to a member, which may have ended since; a cut link loses the frame.
-    fn send_frame(&mut self, from: usize, to: MemberId, frame: Frame) {
-        let Some((index, incarnation)) = self.members.get(&to).copied() else {
-            return;
-        };
-        self.message_count += 1;
-        if let Some(bytes) = &mut self.message_bytes {
-            *bytes += frame.encode().len() as u64;
-        }
-        let (from_zone, to_zone) = (
-            Location::Zone(self.entry_processes[from].zone),
-            Location::Zone(self.entry_processes[index].zone),
-        );
-        if self.is_cut(from_zone, to_zone) {
-            return;
-        }
-        let at = self.now + self.latency(from_zone, to_zone);
-        self.schedule(at, SimEvent::EntryInput(index, incarnation, Event::FrameReceived(frame)));
-    }
-
     /// Records in the history how far every entry instance has applied the log.
     fn record_applied_offsets(&mut self) {
         self.schedule(self.now + SAMPLE_INTERVAL, SimEvent::Sample);
@@ -809,99 +424,6 @@
         }
     }
 
-    fn begin_fault(&mut self, fault: Fault) {
-        match fault.clone() {
-            Fault::Kill { entry, back } => {
-                self.save_events(entry);
-                self.entry_processes[entry].entry = None;
-                self.entry_processes[entry].incarnation += 1;
-                self.break_connections(entry, false);
-                self.schedule(self.now + back, SimEvent::StartEntry(entry));
-            }
-            Fault::Stop { entry } => {
-                self.entry_processes[entry].stopping = true;
-                let incarnation = self.entry_processes[entry].incarnation;
-                self.step_entry(entry, incarnation, Event::Stop);
-            }
-            Fault::Pause { entry, time } => self.entry_processes[entry].paused_until = self.now + time,
-            Fault::Cut { from, to, both, time } => {
-                self.cut_links.push((from, to));
-                if both {
-                    self.cut_links.push((to, from));
-                }
-                self.schedule(self.now + time, SimEvent::EndFault(fault));
-            }
-            Fault::Log { mode, time } => {
-                self.log.mode = mode;
-                self.schedule(self.now + time, SimEvent::EndFault(fault));
-            }
-            Fault::Worker { worker, faults, time } => {
-                self.worker_mut(worker).faults = faults;
-                self.schedule(self.now + time, SimEvent::EndFault(fault));
-            }
-            Fault::Crash { worker, time } => {
-                let now_ms = self.now_ms();
-                let back_ms = (self.now + time).as_millis() as u64;
-                self.worker_mut(worker).crash(now_ms, back_ms);
-            }
-            Fault::DelayStarts { by, time } => {
-                self.start_delay = Some(by);
-                self.schedule(self.now + time, SimEvent::EndFault(fault));
-            }
-            Fault::Depart { worker, time } => self.begin_departure(worker, time, fault),
-            Fault::ZoneOut { .. }
-            | Fault::Restrict { .. }
-            | Fault::Withdraw { .. }
-            | Fault::Cap { .. }
-            | Fault::Drain { .. }
-            | Fault::Move { .. } => {
-                self.begin_operator_action(&fault);
-            }
-        }
-    }
-
-    fn begin_departure(&mut self, worker: usize, time: Duration, fault: Fault) {
-        let id = self.worker_ids[worker].clone();
-        self.worker_mut(worker).faults.leaving = true;
-        self.list.set_presence(self.now, &id, Some(oriolewall::platform::Presence::Leaving));
-        self.history.record(self.now_ms(), EventKind::Depart { worker: id.to_string() });
-        self.schedule(self.now + time.max(Duration::from_secs(6)), SimEvent::EndFault(fault));
-    }
-
-    fn end_fault(&mut self, fault: Fault) {
-        match fault {
-            Fault::Cut { from, to, both, .. } => {
-                self.end_cut(from, to);
-                if both {
-                    self.end_cut(to, from);
-                }
-            }
-            Fault::Log { .. } => self.log.mode = Mode::Up,
-            Fault::Worker { worker, .. } => {
-                let leaving = self.worker_mut(worker).faults.leaving;
-                self.worker_mut(worker).faults = crate::standin::worker::Faults {
-                    leaving,
-                    ..Default::default()
-                };
-            }
-            Fault::DelayStarts { .. } => self.start_delay = None,
-            Fault::Depart { worker, .. } => {
-                let id = self.worker_ids[worker].clone();
-                self.worker_mut(worker).faults.leaving = false;
-                self.list.set_presence(self.now, &id, Some(oriolewall::platform::Presence::Live));
-                self.history.record(self.now_ms(), EventKind::Return { worker: id.to_string() });
-            }
-            _ => {}
-        }
-    }
-
-    /// Ends one cut of a link; other faults may still cut it.
-    fn end_cut(&mut self, from: Location, to: Location) {
-        if let Some(index) = self.cut_links.iter().position(|it| *it == (from, to)) {
-            self.cut_links.remove(index);
-        }
-    }
-
     fn worker_mut(&mut self, index: usize) -> &mut Worker {
         let id = &self.worker_ids[index];
         &mut self.workers.get_mut(id).expect("workers are never removed").1
@@ -947,20 +469,6 @@
     }
 }
 
-/// Whether a change may affect the pool, health or permit of an instance.
-fn is_fleet_change(change: &Change) -> bool {
-    matches!(
-        change,
-        Change::InstanceAdd { .. }
-            | Change::InstanceRemove { .. }
-            | Change::Observe { .. }
-            | Change::Permit { .. }
-            | Change::Advance { .. }
-            | Change::Release { .. }
-            | Change::Abandon { .. }
-    )
-}
-
 /// Name of the zone with an index.
 pub fn zone_name(zone: usize) -> String {
     format!("z{zone}")
@@ -970,33 +478,3 @@
 fn fake_addr(zone: usize, index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, zone as u8, 1], 1_000 + index as u16))
 }
-
-/// Converts the deadline in a start request between milliseconds since the Unix epoch,
-/// which processes use, and milliseconds since the start of the simulation, which
-/// workers use.
-trait ConvertStartTime {
-    fn into_simulation_time(self, start_wall_ms: u64) -> WorkerRequest;
-    fn into_wall_time(self, start_wall_ms: u64) -> WorkerRequest;
-}
-
-impl ConvertStartTime for WorkerRequest {
-    fn into_simulation_time(self, start_wall_ms: u64) -> WorkerRequest {
-        match self {
-            WorkerRequest::Start(mut start) => {
-                start.start_by_ms = start.start_by_ms.saturating_sub(start_wall_ms);
-                WorkerRequest::Start(start)
-            }
-            other => other,
-        }
-    }
-
-    fn into_wall_time(self, start_wall_ms: u64) -> WorkerRequest {
-        match self {
-            WorkerRequest::Start(mut start) => {
-                start.start_by_ms += start_wall_ms;
-                WorkerRequest::Start(start)
-            }
-            other => other,
-        }
-    }
-}
