balance: idle instances go directly to the pool that needs them

Cause: a short pool was filled from standby while idle instances of other pools waited 0.8 s and then went to standby, and each new coordinator moved nothing to standby for 5 s, as if no demand had been seen yet. Change: shortages are filled from the surplus of other pools first; surplus instances go to standby after 0.3 s; a coordinator that follows another one begins without the delay. The two new tests fail before.

--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -191,7 +191,11 @@
         let epoch = owned.tenure.since();
         if active.as_ref().is_none_or(|(session, _, _)| session.fencing_token != epoch) {
             active = match CoordinatorSession::start(&node, epoch).await {
-                Ok((session, newest)) => Some((session, MaintenanceWaves::restore(newest), Planner::default())),
+                Ok((session, newest)) => {
+                    let has_predecessor = newest.entries.iter().any(|it| it.key == RECENT_ORDERS_KEY);
+                    let planner = if has_predecessor { Planner::resume() } else { Planner::default() };
+                    Some((session, MaintenanceWaves::restore(newest), planner))
+                }
                 Err(err) => {
                     watch::report_log_error(&node, "duties", &err);
                     None
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -3,7 +3,8 @@
 //! An instance in a pool is paid for by the second, one in a standby pool is
 //! not; a move costs about as much as an idle second. So idle instances are
 //! moved to pools that need them, and otherwise to a standby pool. A pool that
-//! needs more instances gets them from standby pools first.
+//! needs more instances gets idle ones of other pools first: the demand of one pool
+//! often rises as that of another falls, and the way through a standby pool takes two moves.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -18,9 +19,9 @@
 /// Capacity planned for arriving jobs, as a multiple of their estimated use.
 /// Estimates of run times are off by a tenth on average.
 const ARRIVAL_HEADROOM: f64 = 1.1;
-/// Idle time after which an instance is moved to a standby pool. Idling that long costs about as
-/// much as the move and the move back.
-const STANDBY_IDLE_TIME: Duration = Duration::from_millis(800);
+/// Idle time after which a surplus instance is moved to a standby pool: more than one round of
+/// planning, as the next step of a job that has just ended may need the instance.
+const STANDBY_IDLE_TIME: Duration = Duration::from_millis(300);
 /// Time after which an instance that a pool refused may be moved there again.
 const REFUSAL_RETRY: Duration = Duration::from_secs(30);
 /// Time after the first arriving job in which no instance is moved to a standby pool.
@@ -85,8 +86,8 @@
     ordered: HashMap<Arc<str>, (PoolId, Duration)>,
     /// When a pool last refused an instance.
     refused: HashMap<(Arc<str>, PoolId), Duration>,
-    /// When jobs were first seen to arrive.
-    first_arrival: Option<Duration>,
+    /// Time from which instances may be moved to a standby pool; `None` until jobs arrive.
+    standby_from: Option<Duration>,
     balances: BTreeMap<PoolId, PoolBalance>,
 }
 
@@ -110,6 +111,15 @@
 }
 
 impl Planner {
+    /// Creates the planner of a coordinator that follows another one. Its predecessors have seen
+    /// the first shift of demand, so idle instances go to a standby pool without [`STANDBY_DELAY`].
+    pub fn resume() -> Planner {
+        Planner {
+            standby_from: Some(Duration::ZERO),
+            ..Planner::default()
+        }
+    }
+
     /// Returns the moves that the present demand calls for. `standby` lists the standby pools; the
     /// first of them receives idle instances.
     pub fn plan(&mut self, now: Duration, loads: &BTreeMap<PoolId, PoolLoad>, standby: &[PoolId], instances: &[Instance]) -> Vec<Move> {
@@ -126,9 +136,9 @@
         available.retain(|it| it.movable && !self.ordered.contains_key(&it.name));
         let mut moves = self.fill_shortages(loads, &mut pools, &mut available);
         if loads.values().any(|it| 0 < it.arriving) {
-            self.first_arrival.get_or_insert(now);
+            self.standby_from.get_or_insert(now + STANDBY_DELAY);
         }
-        let may_move_to_standby = self.first_arrival.is_some_and(|since| since + STANDBY_DELAY <= now);
+        let may_move_to_standby = self.standby_from.is_some_and(|from| from <= now);
         if let Some(target) = standby.first().filter(|_| may_move_to_standby) {
             moves.extend(self.move_idle_to_standby(now, target, &mut pools));
         }
@@ -204,8 +214,8 @@
         self.ordered.get(&instance.name).map_or(&instance.pool, |(pool, _)| pool)
     }
 
-    /// Fills up pools that have too few instances, first from standby pools, then with idle
-    /// instances of other pools. The pool with the most waiting tasks is served first.
+    /// Fills up pools that have too few instances, first with idle instances of other pools, then
+    /// from standby pools. The pool with the most waiting tasks is served first.
     fn fill_shortages(
         &self,
         loads: &BTreeMap<PoolId, PoolLoad>,
@@ -222,8 +232,8 @@
         for name in short {
             while pools[&name].have < pools[&name].wanted {
                 let fits = |it: &Instance| !self.refused.contains_key(&(it.name.clone(), name.clone()));
-                let from_standby = available.iter().position(|it| fits(it)).map(|it| available.swap_remove(it));
-                let Some(instance) = from_standby.or_else(|| take_spare(pools, &name, fits)) else {
+                let from_standby = || available.iter().position(|it| fits(it)).map(|it| available.swap_remove(it));
+                let Some(instance) = take_spare(pools, &name, fits).or_else(from_standby) else {
                     break;
                 };
                 if let Some(pool) = pools.get_mut(&name) {
--- a/lib/tests/test_balance.rs
+++ b/lib/tests/test_balance.rs
@@ -50,6 +50,33 @@
     assert_eq!(moved, ["m3"], "the idle pool keeps its minimum of three");
 }
 
+#[test]
+fn idle_instances_of_other_pools_move_before_those_in_standby() {
+    // Guards against two moves by way of the standby pool where one does.
+    let mut instances: Vec<Instance> = (0..5).map(|it| instance(it, "idle")).collect();
+    instances.push(instance(5, "busy"));
+    instances.push(instance(6, "standby"));
+    let loads = BTreeMap::from([
+        (PoolId::from("busy"), load(1000, 3000, 0, &[])),
+        (PoolId::from("idle"), load(0, 0, 0, &[0, 1, 2, 3, 4])),
+    ]);
+    let moves = Planner::default().plan(at(0), &loads, &[Arc::from("standby")], &instances);
+    let from: Vec<&str> = moves.iter().map(|it| &*it.from).collect();
+    assert_eq!(from, ["idle", "idle", "standby"], "the idle pool keeps its minimum of three");
+}
+
+#[test]
+fn a_later_coordinator_moves_idle_instances_to_standby_without_the_first_delay() {
+    // Guards against surplus instances that stay in their pools for 5 s at each change of the
+    // coordinator.
+    let instances: Vec<Instance> = (0..5).map(|it| instance(it, "pool")).collect();
+    let standby = [PoolId::from("standby")];
+    let idle = BTreeMap::from([(PoolId::from("pool"), load(0, 0, 1, &[0, 1, 2, 3, 4]))]);
+    let mut planner = Planner::resume();
+    assert!(planner.plan(at(1000), &idle, &standby, &instances).is_empty());
+    assert_eq!(planner.plan(at(1400), &idle, &standby, &instances).len(), 2);
+}
+
 #[test]
 fn idle_instances_move_until_the_minimum_pool_size() {
     let mut instances: Vec<Instance> = (0..6).map(|it| instance(it, "idle")).collect();
