placement: a job that cannot be placed delays only itself

Cause: after 33 jobs that could not be placed completely, for any reason, a pass left out the rest of the pool's or the team's jobs.

Change: the rest is left out only once the least that any waiting task needs has no room, or exceeds the team's limit. Within a pass, where room only shrinks, a search that failed is not made again for a task that needs as much (module worker_search). Searches that depend on the job (spread, gang, advice) are repeated within a budget of worker visits per pass, the oldest first; an answer of the advice service makes the job be searched for at once. The tasks of a step on a worker are counted as they come and go, not by a search.

--- a/bench/src/measure.rs
+++ b/bench/src/measure.rs
@@ -4,6 +4,7 @@
 //! are measured on the machine that runs them.
 //!
 //! - [`acceptance`]: acceptance of submissions at several arrival rates.
+//! - [`blocked`]: processor time of a placement pass with jobs that cannot be placed.
 //! - [`owner`]: processor time of a pool's owner.
 //! - [`scenario`]: entry instances and workers under load and faults.
 //! - [`slope`]: size of the state, memory, processing time and messages at several
@@ -11,6 +12,7 @@
 //! - [`wave`]: maintenance waves over fleets of several sizes.
 
 pub mod acceptance;
+pub mod blocked;
 pub mod owner;
 pub mod scenario;
 pub mod slope;
@@ -86,6 +88,11 @@
         help: "processor time of a pool's owner with 200 to 800 workers, also with too much work",
         run: owner::run,
     },
+    Scenario {
+        name: "blocked",
+        help: "processor time of a placement pass with 10 to 10000 jobs that cannot be placed",
+        run: blocked::run,
+    },
     Scenario {
         name: "wave",
         help: "a maintenance wave at 10, 100, 1000 and 18000 instances",
--- a/bench/src/measure/owner.rs
+++ b/bench/src/measure/owner.rs
@@ -39,7 +39,7 @@
     requested: Option<(ContactId, Duration)>,
 }
 
-fn limits() -> TimeLimits {
+pub(super) fn limits() -> TimeLimits {
     TimeLimits {
         lease: Duration::from_secs(3),
         lease_max: Duration::from_secs(6),
@@ -48,7 +48,7 @@
     }
 }
 
-fn catalog() -> Catalog {
+pub(super) fn catalog() -> Catalog {
     let mut catalog = Catalog {
         version: 1,
         ..Catalog::default()
@@ -70,7 +70,7 @@
     catalog
 }
 
-fn listed(index: usize) -> ListedWorker {
+pub(super) fn listed(index: usize) -> ListedWorker {
     ListedWorker {
         id: Arc::from(format!("i-{index:05}")),
         addr: "10.0.0.1:80".parse().expect("the address is valid"),
--- a/lib/src/advice.rs
+++ b/lib/src/advice.rs
@@ -27,6 +27,11 @@
 /// Identifies a step in one occurrence of a job: job, occurrence and position of the step.
 pub type StepKey = (JobKey, u32, u16);
 
+/// Returns the key of the step of a task.
+pub(crate) fn step_key(task: &TaskKey) -> StepKey {
+    (task.job.clone(), task.turn, task.step)
+}
+
 /// Advice on one step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
@@ -40,7 +45,7 @@
 
 impl Scheduler {
     /// Whether the queue of a task needs advice.
-    fn needs_advice(&self, task: &TaskKey) -> bool {
+    pub(crate) fn needs_advice(&self, task: &TaskKey) -> bool {
         let job = self.jobs.get(&task.job);
         job.and_then(|it| self.queue_of(&it.record)).is_some_and(|it| it.needs_advice)
     }
@@ -51,22 +56,31 @@
         if !self.needs_advice(task) {
             return Some(None);
         }
-        let step_advice = self.advice.get(&(task.job.clone(), task.turn, task.step))?;
+        let step_advice = self.advice.get(&step_key(task))?;
         if step_advice.valid_until < now.mono + MIN_REMAINING_VALIDITY {
             return None;
         }
         step_advice.tickets.get(worker).map(|it| Some(it.clone()))
     }
 
-    /// Requests advice on a step unless a call is already in flight.
-    pub(crate) fn request_advice(&mut self, now: Now, task: &TaskKey) {
+    /// Whether some worker is approved for a task, or none needs to be.
+    pub(crate) fn has_advice(&self, now: Now, task: &TaskKey) -> bool {
+        if !self.needs_advice(task) {
+            return true;
+        }
+        let step_advice = self.advice.get(&step_key(task));
+        step_advice.is_some_and(|it| !it.tickets.is_empty() && now.mono + MIN_REMAINING_VALIDITY <= it.valid_until)
+    }
+
+    /// Requests advice on a step unless a call is already in flight. Returns whether it did.
+    pub(crate) fn request_advice(&mut self, now: Now, task: &TaskKey) -> bool {
         if !self.needs_advice(task) {
-            return;
+            return false;
         }
-        let key = (task.job.clone(), task.turn, task.step);
+        let key = step_key(task);
         let step_advice = self.advice.entry(key.clone()).or_default();
         if step_advice.requested_at.is_some_and(|it| now.mono < it + RETRY_INTERVAL) {
-            return;
+            return false;
         }
         let pool = &self.jobs[&task.job].record.submission.pool;
         let candidates = self
@@ -76,17 +90,19 @@
         let mut candidates: Vec<_> = candidates.map(|it| (it.used.cpu, it.listed.id.clone())).collect();
         candidates.sort();
         if candidates.is_empty() {
-            return;
+            return false;
         }
         step_advice.requested_at = Some(now.mono);
         self.actions.push(Action::RequestAdvice {
             step: key,
             workers: candidates.into_iter().take(MAX_CANDIDATES).map(|(_, id)| id).collect(),
         });
+        true
     }
 
     /// Replaces the advice on a step by an answer of the service, valid for the given time.
     pub fn advice_received(&mut self, now: Now, step: StepKey, approved: Vec<(InstanceId, Arc<str>)>, validity: Duration) {
+        self.searches.forget(&step.0);
         let step_advice = self.advice.entry(step).or_default();
         step_advice.tickets = approved.into_iter().collect();
         step_advice.valid_until = now.mono + validity;
@@ -102,7 +118,7 @@
 
     /// Discards a ticket that its worker rejected.
     pub(crate) fn drop_ticket(&mut self, task: &TaskKey, worker: &InstanceId) {
-        if let Some(step_advice) = self.advice.get_mut(&(task.job.clone(), task.turn, task.step)) {
+        if let Some(step_advice) = self.advice.get_mut(&step_key(task)) {
             step_advice.tickets.remove(worker);
         }
     }
--- a/lib/src/eviction.rs
+++ b/lib/src/eviction.rs
@@ -3,11 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::advice::StepKey;
+use crate::advice::{StepKey, step_key};
 use crate::clock::Now;
 use crate::decision::Decision;
 use crate::id::InstanceId;
-use crate::job_record::TaskKey;
 use crate::scheduler::Scheduler;
 use crate::worker::{RunKey, RunPhase, Worker};
 
@@ -93,7 +92,3 @@
         });
     }
 }
-
-fn step_key(task: &TaskKey) -> StepKey {
-    (task.job.clone(), task.turn, task.step)
-}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -135,3 +135,4 @@
 pub mod wire;
 pub mod worker;
 mod worker_events;
+mod worker_search;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -5,6 +5,7 @@
 //! start order is sent once the placement is in the log.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use crate::clock::Now;
 use crate::decision::Decision;
@@ -15,10 +16,13 @@
 use crate::spec::Step;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
 
-/// A pass leaves out the rest of a pool's or a team's jobs once more of them than this could not
-/// be placed completely for lack of room, or because of the team's limit. Without this limit each
-/// pass over a full pool would visit every queued job.
+/// A pass leaves out the rest of a full pool's jobs, and of a team's at its limit, once more of
+/// them than this could not be placed completely. Until then advice is requested for the next
+/// tasks, so that they can start as soon as there is room.
 const MAX_BLOCKED_JOBS: usize = 32;
+/// Most calls for advice in a pass for tasks that may have room. The others follow in later
+/// passes, so that a step that gets no answer does not keep the next ones from asking.
+const MAX_ADVICE_CALLS: usize = 32;
 
 /// Fraction of the objective that must remain as slack beyond the estimated run time.
 /// The half of the estimates with the smaller errors is off by this much on average.
@@ -38,13 +42,37 @@
     Overdue,
 }
 
-/// Why some tasks of a job could not be placed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Shortage {
-    /// The limit of the team does not allow them.
-    Team,
-    /// No worker of the pool can run them now.
-    Room,
+/// Jobs of a pool or a team that a pass could not place completely.
+#[derive(Clone, Copy, Debug, Default)]
+struct Blocked {
+    jobs: usize,
+    /// Whether no task can be placed any more in this pass.
+    is_exhausted: bool,
+}
+
+impl Blocked {
+    fn is_over(&self) -> bool {
+        MAX_BLOCKED_JOBS < self.jobs
+    }
+}
+
+/// What a placement pass has met so far.
+#[derive(Debug, Default)]
+struct Pass {
+    pools: HashMap<PoolId, Blocked>,
+    teams: HashMap<TeamId, Blocked>,
+    /// Least that a task of the waiting jobs needs, by pool and by team.
+    floors: Option<Floors>,
+    advice_calls: usize,
+}
+
+/// Smallest amount of each resource that a task of the waiting jobs needs.
+#[derive(Debug, Default)]
+struct Floors {
+    /// What tasks reserve of their worker.
+    pools: HashMap<PoolId, Resources>,
+    /// What tasks count against their team's cap.
+    teams: HashMap<TeamId, Resources>,
 }
 
 impl Scheduler {
@@ -55,24 +83,56 @@
         if now.mono < self.placement_resumes_at {
             return;
         }
-        let mut blocked_by_room: HashMap<PoolId, usize> = HashMap::new();
-        let mut blocked_by_team: HashMap<TeamId, usize> = HashMap::new();
-        let is_over = |blocked: Option<&usize>| blocked.is_some_and(|it| MAX_BLOCKED_JOBS < *it);
-        for id in self.jobs_by_urgency(now) {
-            let submission = &self.jobs[&id].record.submission;
-            let (pool, team) = (submission.pool.clone(), submission.team.clone());
-            if is_over(blocked_by_room.get(&pool)) || is_over(blocked_by_team.get(&team)) {
+        let open_jobs = &self.open_jobs;
+        self.searches.begin_pass(|it| open_jobs.contains(it));
+        let waiting = self.jobs_by_urgency(now);
+        let mut pass = Pass::default();
+        for id in &waiting {
+            let submission = &self.jobs[id].record.submission;
+            let is_exhausted = |it: Option<&Blocked>| it.is_some_and(|it| it.is_exhausted);
+            if is_exhausted(pass.pools.get(&submission.pool)) || is_exhausted(pass.teams.get(&submission.team)) {
                 continue;
             }
             if self.start_window.is_full() {
                 return;
             }
-            match self.place_job(now, &id) {
-                None => {}
-                Some(Shortage::Room) => *blocked_by_room.entry(pool).or_default() += 1,
-                Some(Shortage::Team) => *blocked_by_team.entry(team).or_default() += 1,
+            if !self.place_job(now, &mut pass, id) {
+                self.add_blocked(&mut pass, &waiting, id);
+            }
+        }
+    }
+
+    /// Counts a job that could not be placed completely, and determines whether any other job of
+    /// its pool and its team can be. That it is blocked itself is no sign of that: it may be for a
+    /// reason of its own, or because it needs more than others.
+    fn add_blocked(&self, pass: &mut Pass, waiting: &[JobKey], id: &JobKey) {
+        let submission = &self.jobs[id].record.submission;
+        let (pool, team) = (&submission.pool, &submission.team);
+        let in_pool = pass.pools.entry(pool.clone()).or_default();
+        in_pool.jobs += 1;
+        if in_pool.is_over() {
+            let floors = pass.floors.get_or_insert_with(|| self.floors(waiting));
+            in_pool.is_exhausted = self.searches.is_exhausted(pool, &floors.pools[pool]);
+        }
+        let in_team = pass.teams.entry(team.clone()).or_default();
+        in_team.jobs += 1;
+        if in_team.is_over() {
+            let floors = pass.floors.get_or_insert_with(|| self.floors(waiting));
+            in_team.is_exhausted = !self.is_within_team_limit(team, &floors.teams[team]);
+        }
+    }
+
+    /// Determines the least that a task of the waiting jobs of each pool and team needs.
+    fn floors(&self, waiting: &[JobKey]) -> Floors {
+        let mut floors = Floors::default();
+        for id in waiting {
+            let submission = &self.jobs[id].record.submission;
+            for step in &submission.spec.steps {
+                lower(&mut floors.pools, &submission.pool, &step.reserved());
+                lower(&mut floors.teams, &submission.team, &step.need);
             }
         }
+        floors
     }
 
     /// Returns the open jobs that have waiting tasks, most urgent first.
@@ -110,89 +170,132 @@
         jobs.into_iter().map(|(_, _, _, _, id)| id.clone()).collect()
     }
 
-    /// Places the tasks of a job that are ready. Returns why some of them were not placed.
-    fn place_job(&mut self, now: Now, id: &JobKey) -> Option<Shortage> {
-        let record = &self.jobs[id].record;
-        let mut waiting: Vec<TaskKey> = Vec::new();
-        for turn in 0..record.spec().occurrences() {
-            for step in 0..record.spec().steps.len() {
-                if !record.step_tasks(turn, step).iter().any(|it| it.state == TaskState::Waiting) {
+    /// Places the tasks of a job that are ready. Returns whether all of them were placed, as far as
+    /// they may be started now.
+    fn place_job(&mut self, now: Now, pass: &mut Pass, id: &JobKey) -> bool {
+        let spec = self.jobs[id].record.submission.spec.clone();
+        let mut is_complete = true;
+        for turn in 0..spec.occurrences() {
+            for (step_index, step) in spec.steps.iter().enumerate() {
+                let record = &self.jobs[id].record;
+                let tasks = record.step_tasks(turn, step_index);
+                let Some(first) = tasks.iter().position(|it| it.state == TaskState::Waiting) else {
                     continue;
-                }
-                if !record.is_ready(turn, step, now.wall_ms()) {
+                };
+                if !record.is_ready(turn, step_index, now.wall_ms()) {
                     continue;
                 }
-                let tasks = record.step_tasks(turn, step).iter().enumerate();
-                let waiting_tasks = tasks.filter(|(_, it)| it.state == TaskState::Waiting);
-                let keys = waiting_tasks.map(|(index, _)| TaskKey {
+                let key = |index: usize| TaskKey {
                     job: id.clone(),
                     turn,
-                    step: step as u16,
+                    step: step_index as u16,
                     index: index as u32,
-                });
+                };
+                if !self.may_find_worker(now, pass, &key(first), step) {
+                    is_complete = false;
+                    continue;
+                }
+                let tasks = self.jobs[id].record.step_tasks(turn, step_index).iter().enumerate();
+                let waiting = tasks.filter(|(_, it)| it.state == TaskState::Waiting).map(|(index, _)| key(index));
                 // An earlier run of the task may be in progress although it was given up.
-                waiting.extend(keys.filter(|task| !self.unexpected_runs.iter().any(|it| it.task == *task)));
+                let group: Vec<TaskKey> = waiting
+                    .filter(|task| !self.unexpected_runs.iter().any(|it| it.task == *task))
+                    .collect();
+                if group.is_empty() {
+                    continue;
+                }
+                is_complete &= match step.gang {
+                    true => self.place_gang(now, &group, step),
+                    false => self.place_each(now, &group, step),
+                };
             }
         }
-        let mut shortage = None;
-        let mut index = 0;
-        while index < waiting.len() {
-            let step = waiting[index].step;
-            let turn = waiting[index].turn;
-            let group_len = waiting[index..].iter().take_while(|it| it.step == step && it.turn == turn).count();
-            let group = &waiting[index..index + group_len];
-            index += group_len;
-            let gang = self.jobs[id].record.step(step).gang;
-            let group_shortage = match gang {
-                true => self.place_gang(now, group),
-                false => self.place_each(now, group),
-            };
-            shortage = shortage.max(group_shortage);
+        if is_complete {
+            self.searches.forget(id);
+        }
+        is_complete
+    }
+
+    /// Whether a search for workers for a step's tasks, of which `task` is the first one, may
+    /// succeed and is to be made in this pass. Requests advice where that is missing.
+    fn may_find_worker(&mut self, now: Now, pass: &mut Pass, task: &TaskKey, step: &Step) -> bool {
+        let submission = &self.jobs[&task.job].record.submission;
+        let (pool, team) = (&submission.pool, &submission.team);
+        if !self.is_within_team_limit(team, &step.need) || self.searches.is_known_to_fail(pool, step) {
+            let is_over = |it: Option<&Blocked>| it.is_some_and(Blocked::is_over);
+            if !is_over(pass.pools.get(pool)) && !is_over(pass.teams.get(team)) {
+                self.request_advice(now, task);
+            }
+            return false;
+        }
+        if !self.has_advice(now, task) {
+            if pass.advice_calls < MAX_ADVICE_CALLS && self.request_advice(now, task) {
+                pass.advice_calls += 1;
+            }
+            return false;
         }
-        shortage
+        !self.is_constrained(task, step) || self.searches.may_search(&task.job)
     }
 
-    /// Places the tasks of a group one by one until one of them cannot be placed. Returns why
-    /// it was not.
-    fn place_each(&mut self, now: Now, group: &[TaskKey]) -> Option<Shortage> {
+    /// Whether it depends on more than a worker's room, label and speed whether it can run a task.
+    fn is_constrained(&self, task: &TaskKey, step: &Step) -> bool {
+        step.gang || step.spread != 0 || self.needs_advice(task)
+    }
+
+    /// Handles a search for a worker that failed after `chosen` members of a gang had a worker.
+    fn search_failed(&mut self, now: Now, task: &TaskKey, step: &Step, chosen: usize) {
+        self.request_advice(now, task);
+        if self.is_team_at_limit(task) {
+            return;
+        }
+        let pool = &self.jobs[&task.job].record.submission.pool;
+        let visited = self.candidates.with_free_cpu(pool, step.reserved().cpu).count();
+        if visited == 0 && chosen == 0 || step.spread == 0 && chosen == 0 && !self.needs_advice(task) {
+            self.searches.add_failed_need(pool, step);
+        } else {
+            self.searches.add_failure(&task.job, (chosen + 1) * visited);
+        }
+    }
+
+    /// Places the tasks of a group one by one until one of them cannot be placed. Returns whether
+    /// all were placed that may be started now.
+    fn place_each(&mut self, now: Now, group: &[TaskKey], step: &Step) -> bool {
         for task in group {
             if self.start_window.is_full() {
-                return None;
+                return true;
             }
             let Some(worker) = self.choose_worker(now, task) else {
-                self.request_advice(now, task);
-                return Some(self.shortage(task));
+                self.search_failed(now, task, step, 0);
+                return false;
             };
             let run = self.next_run(task);
             self.assign(now, task, worker, run);
         }
-        None
-    }
-
-    /// Returns why no worker was found for a task.
-    fn shortage(&self, task: &TaskKey) -> Shortage {
-        match self.is_team_at_limit(task) {
-            true => Shortage::Team,
-            false => Shortage::Room,
-        }
+        true
     }
 
     /// Whether the limit of its team does not allow a task to be placed.
     fn is_team_at_limit(&self, task: &TaskKey) -> bool {
         let record = &self.jobs[&task.job].record;
-        let team = &record.submission.team;
+        !self.is_within_team_limit(&record.submission.team, &record.step(task.step).need)
+    }
+
+    /// Whether a team may use this amount in addition.
+    fn is_within_team_limit(&self, team: &TeamId, need: &Resources) -> bool {
         let used = self.usage.get(team).copied().unwrap_or_default();
-        !team.is_empty() && !record.step(task.step).need.fits(&used, &self.team_limit(team))
+        team.is_empty() || need.fits(&used, &self.team_limit(team))
     }
 
-    /// Places all tasks of a gang or none of them. Returns why they were not placed; `None` also
-    /// if some of them are not waiting.
-    fn place_gang(&mut self, now: Now, group: &[TaskKey]) -> Option<Shortage> {
-        let record = &self.jobs[&group[0].job].record;
-        let step = record.step(group[0].step);
+    /// Places all tasks of a gang or none of them. Returns whether nothing more can be done for it
+    /// now: it was placed, or some of its tasks are not waiting.
+    fn place_gang(&mut self, now: Now, group: &[TaskKey], step: &Step) -> bool {
         if group.len() != step.count as usize {
             // Some members of an earlier run have not ended yet.
-            return None;
+            return true;
+        }
+        let team = self.jobs[&group[0].job].record.submission.team.clone();
+        if !self.is_within_team_limit(&team, &step.need.times(group.len() as u64)) {
+            return false;
         }
         let run = group.iter().map(|it| self.next_run(it)).max().unwrap_or(1);
         let mut chosen: Vec<(TaskKey, InstanceId)> = Vec::new();
@@ -209,19 +312,13 @@
             self.workers.get_mut(worker).expect("it was chosen").used -= need;
         }
         if chosen.len() != group.len() {
-            self.request_advice(now, &group[0]);
-            return Some(self.shortage(&group[0]));
-        }
-        let team = self.jobs[&group[0].job].record.submission.team.clone();
-        let total = self.jobs[&group[0].job].record.step(group[0].step).need.times(group.len() as u64);
-        let used = self.usage.get(&team).copied().unwrap_or_default();
-        if !total.fits(&used, &self.team_limit(&team)) {
-            return Some(Shortage::Team);
+            self.search_failed(now, &group[0], step, chosen.len());
+            return false;
         }
         for (task, worker) in chosen {
             self.assign(now, &task, worker, run);
         }
-        None
+        true
     }
 
     /// Returns the number of the next run of a task.
@@ -325,6 +422,14 @@
     }
 }
 
+/// Lowers the amount of a name to at most `need`.
+fn lower(floors: &mut HashMap<Arc<str>, Resources>, name: &Arc<str>, need: &Resources) {
+    match floors.get_mut(name) {
+        Some(floor) => *floor = floor.min(need),
+        None => _ = floors.insert(name.clone(), *need),
+    }
+}
+
 /// Converts a time, milliseconds. Sums of a few results stay within the range.
 fn signed_ms(ms: u64) -> i64 {
     ms.min(1 << 60) as i64
--- a/lib/src/resources.rs
+++ b/lib/src/resources.rs
@@ -32,6 +32,11 @@
         fits(self.cpu, used.cpu, capacity.cpu) && fits(self.mem, used.mem, capacity.mem) && fits(self.gpu, used.gpu, capacity.gpu)
     }
 
+    /// Whether this amount is at least `other` in each dimension.
+    pub fn contains(&self, other: &Resources) -> bool {
+        other.cpu <= self.cpu && other.mem <= self.mem && other.gpu <= self.gpu
+    }
+
     /// Multiplies each dimension by `count`, up to the largest number.
     pub fn times(&self, count: u64) -> Resources {
         Resources {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -27,6 +27,7 @@
 use crate::start_window::Window;
 use crate::time_limits::TimeLimits;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
+use crate::worker_search::Searches;
 
 /// Time after which a worker must no longer carry out an order to start a run.
 /// Ten times the slowest answer of a healthy worker across zones.
@@ -84,6 +85,8 @@
     pub(crate) workers: HashMap<InstanceId, Worker>,
     /// Workers for the tasks of the current placement pass.
     pub(crate) candidates: Candidates,
+    /// Searches for workers that failed.
+    pub(crate) searches: Searches,
     /// Resources that each team's runs may be using, counted against its cap.
     pub(crate) usage: HashMap<TeamId, Resources>,
     /// Share of each team's cap that is granted to this owner.
@@ -152,6 +155,7 @@
             open_jobs: BTreeSet::new(),
             workers: HashMap::new(),
             candidates: Candidates::default(),
+            searches: Searches::default(),
             usage: HashMap::new(),
             grants: HashMap::new(),
             read_cancels: HashMap::new(),
--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::advice::{StepKey, step_key};
 use crate::id::{InstanceId, PoolId, RackId, TeamId, ZoneId};
 use crate::job_record::{JobKey, TaskKey};
 use crate::order::ContactId;
@@ -146,6 +147,8 @@
     pub has_unreadable_rows: bool,
     /// Runs that may be taking place there.
     pub runs: HashMap<RunKey, Run>,
+    /// Number of the runs of each step.
+    runs_by_step: HashMap<StepKey, u32>,
     /// Sum of what the runs reserve.
     pub used: Resources,
     /// Number of the latest run end that the worker reported. Workers number the ends of runs in
@@ -195,6 +198,7 @@
             refused_at: None,
             has_unreadable_rows: false,
             runs: HashMap::new(),
+            runs_by_step: HashMap::new(),
             used: Resources::default(),
             last_end_seen: 0,
             last_end_recorded: 0,
@@ -216,16 +220,23 @@
 
     /// Adds a run and reserves its resources. Replaces a run with the same key.
     pub fn add(&mut self, key: RunKey, run: Run) {
+        self.remove(&key);
         self.used += run.reserved;
-        if let Some(old) = self.runs.insert(key, run) {
-            self.used -= old.reserved;
-        }
+        *self.runs_by_step.entry(step_key(&key.task)).or_default() += 1;
+        self.runs.insert(key, run);
     }
 
     /// Removes a run that has ended and releases its resources.
     pub fn remove(&mut self, key: &RunKey) -> Option<Run> {
         let run = self.runs.remove(key)?;
         self.used -= run.reserved;
+        let step = step_key(&key.task);
+        if let Some(count) = self.runs_by_step.get_mut(&step) {
+            *count -= 1;
+            if *count == 0 {
+                self.runs_by_step.remove(&step);
+            }
+        }
         Some(run)
     }
 
@@ -234,6 +245,7 @@
     pub fn clear(&mut self) -> Vec<(RunKey, Run)> {
         self.used = Resources::default();
         self.clock = None;
+        self.runs_by_step.clear();
         self.runs.drain().collect()
     }
 
@@ -381,8 +393,7 @@
 
     /// Returns the number of tasks of one step that may be running on the worker.
     pub fn count_tasks(&self, job: &JobKey, turn: u32, step: u16) -> u32 {
-        let is_same_step = |it: &&RunKey| it.task.job == *job && it.task.turn == turn && it.task.step == step;
-        self.runs.keys().filter(is_same_step).count() as u32
+        self.runs_by_step.get(&(job.clone(), turn, step)).copied().unwrap_or(0)
     }
 
     /// Counts the end of a run for or against the worker. Returns whether the worker was
