--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -13,7 +13,6 @@
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, StatusCode};
 use oriole_platform::caller;
-use oriolewall::acceptance::Route;
 use oriolewall::catalog::{Catalog, Queue};
 use oriolewall::id::{PoolId, TeamId};
 use oriolewall::job_record::{self, Addressee, JobKey, MAX_ORIGIN_BYTES, Submission};
@@ -26,6 +25,7 @@
 use tokio::time::Instant;
 
 use crate::node::Node;
+use crate::request_log::Outcome;
 use crate::server::{self, HttpResponse};
 use crate::{clock, peer, request_log};
 
@@ -39,10 +39,16 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
 /// Time reserved before the caller's deadline for the response to reach the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
-/// Time limit of one attempt to append a request to the log.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Number of times that a request is sent on at once when an instance no longer appends. Instances
+/// may disagree on the number of appenders for the time of a few messages.
+const MAX_PROMPT_MOVES: usize = 4;
+/// Failed attempts, by different routes, after which a request that certainly had no effect is
+/// refused, if [`PATIENCE`] is over as well.
+const MIN_FAILURES: usize = 3;
 /// Mean delay between two attempts.
 const RETRY_DELAY: Duration = Duration::from_millis(30);
+/// The same at most, while the log is busy.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Request header with the time, in milliseconds, for which the caller waits.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 
@@ -189,9 +195,9 @@
         return error_response(StatusCode::PAYLOAD_TOO_LARGE, "the job is too large for a record of the log");
     }
     match store_request(node, part, id, request, target.deadline).await {
-        Reply::Done => server::json_response(StatusCode::OK, caller::status_body(JobStatus::Queued)),
-        Reply::Unavailable => unavailable_response(log_cause(node)),
-        _ => error_response(StatusCode::GATEWAY_TIMEOUT, "the log did not answer; the job may have been taken"),
+        Stored::Done => server::json_response(StatusCode::OK, caller::status_body(JobStatus::Queued)),
+        Stored::Refused(cause) => unavailable_response(cause),
+        Stored::Unknown => error_response(StatusCode::GATEWAY_TIMEOUT, "the log did not answer; the job may have been taken"),
     }
 }
 
@@ -225,8 +231,8 @@
             }),
         };
         match store_request(node, part, id, request, target.deadline).await {
-            Reply::Done => is_stored = true,
-            Reply::Unavailable if !is_stored => return unavailable_response(log_cause(node)),
+            Stored::Done => is_stored = true,
+            Stored::Refused(cause) if !is_stored => return unavailable_response(cause),
             _ => {
                 return error_response(
                     StatusCode::GATEWAY_TIMEOUT,
@@ -251,35 +257,65 @@
     candidates
 }
 
-/// Appends a request to the log, alternating between the routes. Returns `Done` once the
-/// request is in the log, `Unavailable` if it certainly is not, and `Unknown` if it may be.
-async fn store_request(node: &Arc<Node>, part: PartitionId, id: &JobKey, request: job_record::Request, deadline: Instant) -> Reply {
+/// Whether a request is in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stored {
+    /// It is.
+    Done,
+    /// It certainly is not.
+    Refused(Cause),
+    /// It may be.
+    Unknown,
+}
+
+/// Appends a request to the log, through another appender if one fails.
+async fn store_request(node: &Arc<Node>, part: PartitionId, id: &JobKey, request: job_record::Request, deadline: Instant) -> Stored {
     let refuse_at = Instant::now() + PATIENCE;
     let mut possibly_stored = false;
-    let mut route = request_log::choose_route(node, part);
+    let mut failures = 0;
+    let mut moves = 0;
     let record = request_log::encode(id, &request);
     loop {
-        let remaining = deadline.saturating_duration_since(Instant::now()).min(ATTEMPT_TIMEOUT);
-        // A request that a silent log may have stored could not be refused any more.
-        if route == Route::Direct && !possibly_stored && !node.is_log_reachable() {
-            return Reply::Unavailable;
-        }
-        match request_log::append(node, part, route, vec![record.clone()], remaining).await {
-            Reply::Done => return Reply::Done,
-            Reply::Unavailable | Reply::NotOwner => {}
-            _ => possibly_stored = true,
-        }
-        route = match route {
-            Route::Direct => Route::Aggregated,
-            Route::Aggregated => Route::Direct,
+        let mut delay = RETRY_DELAY;
+        let cause = match request_log::store(node, part, record.clone(), deadline, failures).await {
+            Outcome::Stored => return Stored::Done,
+            Outcome::Busy(drain) => {
+                let cause = Cause::LogBusy(drain);
+                delay = drain.clamp(RETRY_DELAY, MAX_RETRY_DELAY);
+                if !possibly_stored && deadline <= Instant::now() + drain.max(RETRY_DELAY) {
+                    return Stored::Refused(cause);
+                }
+                cause
+            }
+            Outcome::Moved => {
+                moves += 1;
+                if moves < MAX_PROMPT_MOVES {
+                    continue;
+                }
+                log_cause(node)
+            }
+            Outcome::Unavailable => {
+                failures += 1;
+                let cause = log_cause(node);
+                if !possibly_stored && MIN_FAILURES <= failures && refuse_at <= Instant::now() + RETRY_DELAY {
+                    return Stored::Refused(cause);
+                }
+                cause
+            }
+            Outcome::Unknown => {
+                failures += 1;
+                possibly_stored = true;
+                Cause::LogSilent(node.log_silence())
+            }
         };
-        let now = Instant::now();
-        match possibly_stored {
-            // Appending the same record twice is harmless.
-            true if deadline <= now + RETRY_DELAY => return Reply::Unknown,
-            false if refuse_at <= now + RETRY_DELAY => return Reply::Unavailable,
-            _ => tokio::time::sleep(RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>())).await,
+        if deadline <= Instant::now() + RETRY_DELAY {
+            return match possibly_stored {
+                true => Stored::Unknown,
+                false => Stored::Refused(cause),
+            };
         }
+        // Appending the same record twice is harmless.
+        tokio::time::sleep(delay.mul_f64(0.5 + rand::random::<f64>())).await;
     }
 }
 
@@ -365,10 +401,10 @@
     }
 }
 
-/// Returns why the log stored no request.
+/// Returns why neither the log nor an appender took a request.
 fn log_cause(node: &Node) -> Cause {
     match node.is_log_reachable() {
-        true => Cause::LogBusy,
+        true => Cause::LogBusy(Duration::ZERO),
         false => Cause::LogSilent(node.log_silence()),
     }
 }
--- a/fleet/src/log.rs
+++ b/fleet/src/log.rs
@@ -7,26 +7,35 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::task::Poll;
 use std::time::Duration;
 
-use oriole_platform::log::{AppendPosition, Entry, Error, GroupAssignment, LogClient, Partition, PartitionHolder, REQUESTS, ReadResult};
+use oriole_platform::log::{
+    AppendPosition, Entry, Error, GroupAssignment, JOBS, LogClient, Partition, PartitionHolder, REQUESTS, ReadResult,
+};
 use oriolewall::platform;
-use oriolewall::resend::{AnswerTimes, ResendBudget};
+use oriolewall::resend::{AnswerTimes, CallKind, PromptAnswers, ResendBudget};
 use prometheus::IntCounterVec;
 use tokio::time::Instant;
 
+use crate::clock;
+
 /// Most attempts of one call in flight.
 const MAX_ATTEMPTS: usize = 4;
+/// Time until it is checked again whether an answer is lost.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Calls that share answer times and a budget of resends: those of one kind, appends also by
+/// partition, as each partition has a queue of its own in the log service.
+type CallGroup = (CallKind, Option<Partition>);
 
 /// Client of the log that sends calls again.
 #[derive(Debug)]
 pub struct Log {
     client: LogClient,
-    /// Pacing of appends of callers' requests by partition, as each partition has a queue of
-    /// its own in the log service; `None` for all other calls.
-    pacing: Mutex<HashMap<Option<Partition>, Pacing>>,
+    pacing: Mutex<HashMap<CallGroup, Pacing>>,
+    prompt_answers: Mutex<PromptAnswers>,
     /// Overdue calls by outcome: `sent` again, or `denied` by the budget.
     resends: IntCounterVec,
 }
@@ -46,6 +55,7 @@
         Log {
             client,
             pacing: Mutex::default(),
+            prompt_answers: Mutex::default(),
             resends,
         }
     }
@@ -58,8 +68,12 @@
         entries: &[Entry],
         timeout: Duration,
     ) -> Result<(), Error> {
-        let pacing = Some(part).filter(|it| it.topic == REQUESTS);
-        self.call(pacing, timeout, |left| Box::pin(self.client.append(part, position, entries, left)))
+        let group = match part.topic {
+            REQUESTS => (CallKind::Requests, Some(part)),
+            JOBS => (CallKind::Commit, Some(part)),
+            _ => (CallKind::Configuration, None),
+        };
+        self.call(group, timeout, |left| Box::pin(self.client.append(part, position, entries, left)))
             .await
     }
 
@@ -72,7 +86,8 @@
     pub async fn read(&self, part: Partition, from: u64, wait: Duration, timeout: Duration) -> Result<ReadResult, Error> {
         match wait.is_zero() {
             true => {
-                self.call(None, timeout, |left| Box::pin(self.client.read(part, from, wait, left)))
+                let group = (CallKind::Configuration, None);
+                self.call(group, timeout, |left| Box::pin(self.client.read(part, from, wait, left)))
                     .await
             }
             false => self.client.read(part, from, wait, timeout).await,
@@ -94,26 +109,29 @@
 
     /// See [`LogClient::leave`].
     pub async fn leave(&self, group: &str, member: &str, timeout: Duration) -> Result<(), Error> {
-        self.call(None, timeout, |left| Box::pin(self.client.leave(group, member, left)))
+        let calls = (CallKind::Membership, None);
+        self.call(calls, timeout, |left| Box::pin(self.client.leave(group, member, left)))
             .await
     }
 
     /// See [`LogClient::owners`].
     pub async fn owners(&self, group: &str, timeout: Duration) -> Result<Vec<PartitionHolder>, Error> {
-        self.call(None, timeout, |left| Box::pin(self.client.owners(group, left))).await
+        let calls = (CallKind::Membership, None);
+        self.call(calls, timeout, |left| Box::pin(self.client.owners(group, left))).await
     }
 
     /// Makes a call and sends it again while its answer is overdue. Earlier attempts go on:
     /// the first answer of any of them counts. `attempt` gets the time that is left.
-    async fn call<'a, T, F>(&'a self, pacing: Option<Partition>, timeout: Duration, mut attempt: F) -> Result<T, Error>
+    async fn call<'a, T, F>(&'a self, group: CallGroup, timeout: Duration, mut attempt: F) -> Result<T, Error>
     where
         F: FnMut(Duration) -> Attempt<'a, T>,
     {
         let deadline = Instant::now() + timeout;
-        let mut overdue_after = self.with_pacing(pacing, |it| {
+        let mut overdue_after = self.with_pacing(group, |it| {
             it.budget.record_call();
             it.answer_times.overdue_after()
         });
+        let mut last_sent = clock::now().mono;
         let mut attempts = vec![(Instant::now(), attempt(timeout))];
         let mut lost = None;
         let mut resend_at = Instant::now() + overdue_after;
@@ -121,11 +139,17 @@
             let answer = tokio::select! {
                 answer = first_answer(&mut attempts) => answer,
                 () = tokio::time::sleep_until(resend_at), if attempts.len() < MAX_ATTEMPTS && resend_at < deadline => {
+                    let now = clock::now().mono;
+                    if group.0.requires_loss() && !self.prompt_answers().is_lost(now, last_sent, overdue_after) {
+                        resend_at = Instant::now() + RECHECK_INTERVAL;
+                        continue;
+                    }
                     overdue_after *= 2;
                     resend_at = Instant::now() + overdue_after;
-                    let is_allowed = self.with_pacing(pacing, |it| it.budget.take());
+                    let is_allowed = self.with_pacing(group, |it| it.budget.take());
                     self.resends.with_label_values(&[if is_allowed { "sent" } else { "denied" }]).inc();
                     if is_allowed {
+                        last_sent = now;
                         attempts.push((Instant::now(), attempt(deadline - Instant::now())));
                     }
                     continue;
@@ -138,7 +162,9 @@
                 Err(err @ Error::Call(_)) if attempts.is_empty() => return Err(lost.unwrap_or(err)),
                 Err(Error::Call(_)) => {}
                 result => {
-                    self.with_pacing(pacing, |it| it.answer_times.record(sent.elapsed()));
+                    let time = sent.elapsed();
+                    self.with_pacing(group, |it| it.answer_times.record(time));
+                    self.prompt_answers().record(clock::now().mono.saturating_sub(time), time);
                     return result;
                 }
             }
@@ -148,19 +174,20 @@
         }
     }
 
-    fn with_pacing<T, F>(&self, part: Option<Partition>, action: F) -> T
+    fn prompt_answers(&self) -> MutexGuard<'_, PromptAnswers> {
+        self.prompt_answers.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    fn with_pacing<T, F>(&self, group: CallGroup, action: F) -> T
     where
         F: FnOnce(&mut Pacing) -> T,
     {
         let mut pacing = self.pacing.lock().unwrap_or_else(|it| it.into_inner());
         let new_pacing = || Pacing {
-            answer_times: match part {
-                Some(_) => AnswerTimes::of_requests(),
-                None => AnswerTimes::default(),
-            },
-            budget: ResendBudget::default(),
+            answer_times: group.0.answer_times(),
+            budget: group.0.budget(),
         };
-        action(pacing.entry(part).or_insert_with(new_pacing))
+        action(pacing.entry(group).or_insert_with(new_pacing))
     }
 }
 
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -29,8 +29,10 @@
     pub(crate) commit_seconds: Histogram,
     /// Time of an append of callers' requests.
     pub(crate) append_seconds: Histogram,
-    /// Number of requests in one append, or in one call to an aggregator.
+    /// Number of requests in one append, or in one call to an appender.
     pub(crate) append_records: Histogram,
+    /// Appends of callers' requests that the log refused.
+    pub(crate) append_refusals: IntCounter,
     /// Calls to the log with an overdue answer, by whether they were sent again.
     pub(crate) log_resends: IntCounterVec,
     /// Time of an owner's takeover, from before it sets the epoch until its scheduler is
@@ -92,6 +94,7 @@
             commit_seconds: histogram("oriole_commit_seconds", "Time of an owner's commit"),
             append_seconds: histogram("oriole_append_seconds", "Time of an append of requests"),
             append_records,
+            append_refusals: counter("oriole_append_refusals_total", "Appends of requests that the log refused"),
             log_resends: counter_vec("oriole_log_resends_total", "Overdue calls to the log", &["outcome"]),
             takeover_seconds: histogram("oriole_takeover_seconds", "Time of a takeover"),
             orders: counter_vec("oriole_orders_total", "Orders to workers", &["order", "answer"]),
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -251,6 +251,11 @@
         self.log_reachability().is_reachable(clock::now().mono)
     }
 
+    /// Returns whether the log has answered a call since this monotonic time.
+    pub(crate) fn has_log_answered_since(&self, sent: Duration) -> bool {
+        self.log_reachability().has_answered_since(sent)
+    }
+
     /// Returns whether this instance should give up the partitions that it owns, as the log
     /// does not answer it.
     pub(crate) fn should_hand_over(&self) -> bool {
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -77,7 +77,14 @@
         Call::Pending { part, queue } => call_local(node, part, |reply| Event::PendingQuery(queue, reply)).await,
         Call::Vacate { part, workers, wait } => call_local(node, part, |reply| Event::VacateRequest(workers, wait, reply)).await,
         Call::Loads { part } => call_local(node, part, Event::LoadsQuery).await,
-        Call::AppendRecords { part, records } => request_log::handle_call(node, part, records).await,
+        Call::AppendRecords { part, records } => request_log::handle_append(node, part, records).await,
+        Call::Store {
+            part,
+            records,
+            wait_ms,
+            is_substitute,
+        } => request_log::handle_store(node, part, records, Duration::from_millis(wait_ms), is_substitute).await,
+        Call::AppendPace { part } => Reply::Pace(request_log::report(node, part)),
         Call::Leave { member } => group::leave_for(node, &member).await,
         Call::Report(report) => coordinator::handle_report(node, report),
     }
--- a/fleet/src/request_log.rs
+++ b/fleet/src/request_log.rs
@@ -1,5 +1,5 @@
-//! Appends callers' requests to the log, many in one append, directly or through an
-//! aggregator.
+//! Appends callers' requests to the log, many in one append, by this instance or through an
+//! appender.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,32 +8,62 @@
 
 use bytes::Bytes;
 use oriole_platform::log::{Entry, Error, Partition, REQUESTS};
-use oriolewall::acceptance::{self, Avoided, Route, Router};
-use oriolewall::append_queue::AppendQueue;
+use oriolewall::acceptance::{self, Avoided, Pace, Route};
+use oriolewall::append_queue::{AppendQueue, Waiting};
 use oriolewall::estimate::ArrivalRate;
 use oriolewall::job_record::{JobKey, Request};
 use oriolewall::platform;
-use oriolewall::rpc::{Call, PartitionId, Reply, RequestRecord};
+use oriolewall::rpc::{AppendReport, Call, PartitionId, Reply, RequestRecord};
+use serde_json::json;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::node::Node;
 use crate::{clock, peer, watch};
 
-/// Time limit of an append.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time limit of a call to an aggregator.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit of a call to an appender of the previous build, and of one that such an instance
+/// makes.
+const PREVIOUS_BUILD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time within which an appender that is alive reports its pace.
+const PACE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Most time reserved for the reply of an appender, so that one that says that nothing was stored arrives
+/// before the callers stop waiting.
+const REPLY_MARGIN: Duration = Duration::from_millis(60);
+/// Calls of an instance to the appenders of a partition that are open at the same time. With one,
+/// requests would wait for the answer to the call before theirs; each call occupies one of the
+/// four connections to an instance.
+const MAX_RELAYS: usize = 2;
 
-/// Time constant of the rate of requests that an aggregator reports.
+/// Time constant of the rate of requests that instances of the previous build get.
 const RATE_TIME_CONSTANT: Duration = Duration::from_millis(700);
 /// Weight of a request in [`ArrivalRate`], which counts per millisecond.
 const REQUEST_WEIGHT: u64 = 1000;
 
+/// What became of a request, or of several that share an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// It is in the log.
+    Stored,
+    /// It certainly is not, as it could not have been stored before its callers stop waiting;
+    /// the time until what waits is stored.
+    Busy(Duration),
+    /// It certainly is not, as this instance, or the one that was called, no longer appends.
+    Moved,
+    /// It certainly is not, as the log or the appender does not answer.
+    Unavailable,
+    /// It may be.
+    Unknown,
+}
+
 /// Records of one caller or of one call from another instance, which share an append.
 #[derive(Debug)]
 struct Unit {
     records: Vec<RequestRecord>,
-    reply: oneshot::Sender<Reply>,
+    /// Time until which the callers wait for the answer.
+    deadline: Instant,
+    /// Whether it is appended here although other instances should append.
+    is_substitute: bool,
+    reply: oneshot::Sender<Outcome>,
 }
 
 /// Requests that wait for the same partition and take the same route.
@@ -47,15 +77,15 @@
 /// What this instance has seen of a partition of requests.
 #[derive(Debug)]
 struct PartitionState {
-    router: Router,
-    /// Requests per second that this instance appends directly.
+    pace: Pace,
+    /// Requests per second that this instance appends.
     rate: ArrivalRate,
 }
 
 impl Default for PartitionState {
     fn default() -> PartitionState {
         PartitionState {
-            router: Router::default(),
+            pace: Pace::default(),
             rate: ArrivalRate::new(RATE_TIME_CONSTANT),
         }
     }
@@ -71,149 +101,399 @@
 
 impl RequestLog {
     fn lane(&self, part: PartitionId, route: Route) -> Arc<Lane> {
+        let max_in_flight = match route {
+            Route::Direct => 1,
+            Route::Relayed => MAX_RELAYS,
+        };
         let new_lane = || {
             Arc::new(Lane {
                 part,
                 route,
-                queue: Mutex::default(),
+                queue: Mutex::new(AppendQueue::new(max_in_flight)),
             })
         };
         lock(&self.lanes).entry((part, route)).or_insert_with(new_lane).clone()
     }
+
+    fn with_partition<T, F>(&self, part: PartitionId, action: F) -> T
+    where
+        F: FnOnce(&mut PartitionState) -> T,
+    {
+        action(lock(&self.partitions).entry(part).or_default())
+    }
+
+    fn pace(&self, part: PartitionId) -> Pace {
+        self.with_partition(part, |it| it.pace)
+    }
+
+    /// Time until requests that arrive here now are in the log.
+    fn drain(&self, part: PartitionId) -> Duration {
+        let lane = self.lane(part, Route::Direct);
+        let queue = lock(&lane.queue);
+        self.pace(part).wait(queue.in_flight() + queue.appends_waiting(0))
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|it| it.into_inner())
 }
 
-/// Chooses the route for a request to a partition.
-pub(crate) fn choose_route(node: &Node, part: PartitionId) -> Route {
+/// Chooses the route for a request to a partition. The flag says that this instance appends it
+/// although it is no appender.
+fn choose_route(node: &Node, part: PartitionId, failures: usize) -> (Route, bool) {
     // An instance to which the log does not answer tries others first.
     if !node.is_log_reachable() {
-        return Route::Aggregated;
+        return (Route::Relayed, false);
+    }
+    let pace = node.request_log.pace(part);
+    if pace.allows_direct(failures) {
+        return (Route::Direct, true);
     }
-    match lock(&node.request_log.partitions).entry(part).or_default().router.route() {
-        Route::Aggregated if acceptance::is_aggregator(&ranked_aggregators(node, part), node.settings.peer_addr) => Route::Direct,
-        route => route,
+    let ranked = ranked_appenders(node, part);
+    if acceptance::place(&ranked, node.settings.peer_addr).is_some_and(|it| it < pace.appenders()) {
+        return (Route::Direct, false);
     }
+    match pick_appender(node, &ranked, pace.appenders()) {
+        Some(_) => (Route::Relayed, false),
+        None => (Route::Direct, true),
+    }
+}
+
+/// Stores a request by the route that is best now, together with others that wait for it.
+/// `failures` is the number of appenders that have failed to store it.
+pub(crate) async fn store(node: &Arc<Node>, part: PartitionId, record: RequestRecord, deadline: Instant, failures: usize) -> Outcome {
+    let (route, is_substitute) = choose_route(node, part, failures);
+    append(node, part, route, vec![record], deadline, is_substitute).await
 }
 
-/// Appends records to a partition of requests, together with others that wait for it.
-/// The reply is `Done` once they are stored, `Unknown` if they may have been stored, and
-/// `Unavailable` if they certainly were not.
-pub(crate) async fn append(node: &Arc<Node>, part: PartitionId, route: Route, records: Vec<RequestRecord>, timeout: Duration) -> Reply {
+/// Appends records to a partition of requests, together with others that wait for it, until the
+/// deadline.
+async fn append(
+    node: &Arc<Node>,
+    part: PartitionId,
+    route: Route,
+    records: Vec<RequestRecord>,
+    deadline: Instant,
+    is_substitute: bool,
+) -> Outcome {
     let lane = node.request_log.lane(part, route);
     let bytes = records.iter().map(|(key, value)| key.len() + value.len()).sum();
     let (reply, receiver) = oneshot::channel();
-    let ticket = lock(&lane.queue).push(bytes, Unit { records, reply });
+    let unit = Unit {
+        records,
+        deadline,
+        is_substitute,
+        reply,
+    };
+    let pace = node.request_log.pace(part);
+    let ticket = {
+        let mut queue = lock(&lane.queue);
+        let wait = pace.wait(queue.appends_waiting(bytes));
+        if route == Route::Direct && deadline < Instant::now() + wait {
+            return Outcome::Busy(wait);
+        }
+        queue.push(bytes, unit)
+    };
     send_next_batch(node, &lane);
-    match tokio::time::timeout(timeout, receiver).await {
-        Ok(reply) => reply.unwrap_or(Reply::Unknown),
+    match tokio::time::timeout_at(deadline, receiver).await {
+        Ok(outcome) => outcome.unwrap_or(Outcome::Unknown),
         Err(_) => match lock(&lane.queue).withdraw(ticket) {
-            Some(_) => Reply::Unavailable,
-            None => Reply::Unknown,
+            Some(_) => Outcome::Busy(pace.drain().max(pace.answer())),
+            None => Outcome::Unknown,
         },
     }
 }
 
-/// Sends the next batch of a lane unless one is in flight.
+/// Sends the next batches of a lane while not enough are in flight.
 fn send_next_batch(node: &Arc<Node>, lane: &Arc<Lane>) {
-    if let Some(units) = lock(&lane.queue).next_batch() {
-        tokio::spawn(send_batch(node.clone(), lane.clone(), units));
+    loop {
+        let Some(batch) = lock(&lane.queue).next_batch() else {
+            return;
+        };
+        tokio::spawn(send_batch(node.clone(), lane.clone(), batch));
     }
 }
 
-async fn send_batch(node: Arc<Node>, lane: Arc<Lane>, mut units: Vec<Unit>) {
-    let records: Vec<RequestRecord> = units.iter_mut().flat_map(|it| it.records.drain(..)).collect();
-    node.metrics.append_records.observe(records.len() as f64);
-    let reply = match lane.route {
-        Route::Direct => append_to_log(&node, lane.part, records).await,
-        Route::Aggregated => call_aggregator(&node, lane.part, records).await,
-    };
+/// Sends a batch, and the next one when it has ended.
+async fn send_batch(node: Arc<Node>, lane: Arc<Lane>, batch: Vec<Waiting<Unit>>) {
+    match lane.route {
+        Route::Direct => send_to_log(&node, &lane, batch).await,
+        Route::Relayed => send_to_appender(&node, &lane, batch).await,
+    }
     lock(&lane.queue).finish();
     send_next_batch(&node, &lane);
-    for unit in units {
+}
+
+fn records_of(batch: &[Waiting<Unit>]) -> Vec<RequestRecord> {
+    batch.iter().flat_map(|it| it.unit.records.iter().cloned()).collect()
+}
+
+fn reply_to(batch: Vec<Waiting<Unit>>, outcome: Outcome) {
+    for waiting in batch {
         // The caller may have given up.
-        let _ = unit.reply.send(reply.clone());
+        let _ = waiting.unit.reply.send(outcome);
+    }
+}
+
+/// Sends a batch to an appender, without the requests that it would store too late.
+async fn send_to_appender(node: &Node, lane: &Lane, batch: Vec<Waiting<Unit>>) {
+    let pace = node.request_log.pace(lane.part);
+    let batch = refuse_late(batch, pace.relay_wait(), pace.drain().max(pace.answer()));
+    let Some(deadline) = batch.iter().map(|it| it.unit.deadline).max() else {
+        return;
+    };
+    let records = records_of(&batch);
+    node.metrics.append_records.observe(records.len() as f64);
+    let outcome = call_appender(node, lane.part, records, deadline).await;
+    reply_to(batch, outcome);
+}
+
+/// Refuses the requests of a batch that have to be stored sooner than is expected.
+fn refuse_late(batch: Vec<Waiting<Unit>>, wait: Duration, drain: Duration) -> Vec<Waiting<Unit>> {
+    let stored_at = Instant::now() + wait;
+    let (batch, late): (Vec<_>, Vec<_>) = batch.into_iter().partition(|it| stored_at <= it.unit.deadline);
+    reply_to(late, Outcome::Busy(drain));
+    batch
+}
+
+/// Appends a batch to the log. If the log refuses it, the requests wait again.
+async fn send_to_log(node: &Node, lane: &Lane, batch: Vec<Waiting<Unit>>) {
+    // A request that a silent log may have stored could not be refused any more.
+    if !node.is_log_reachable() {
+        reply_to(batch, Outcome::Unavailable);
+        return;
+    }
+    let pace = node.request_log.pace(lane.part);
+    // Requests that have waited while the log became slow go to the appenders that remain.
+    let is_appender = accepts(node, lane.part);
+    let (batch, moved): (Vec<_>, Vec<_>) = batch.into_iter().partition(|it| is_appender || it.unit.is_substitute);
+    reply_to(moved, Outcome::Moved);
+    let batch = refuse_late(batch, pace.answer(), pace.answer());
+    if batch.is_empty() {
+        return;
+    }
+    let records = records_of(&batch);
+    node.metrics.append_records.observe(records.len() as f64);
+    match append_to_log(node, lane.part, records).await {
+        Ok(outcome) => reply_to(batch, outcome),
+        Err(Refused) => {
+            node.metrics.append_refusals.inc();
+            let is_changed = node
+                .request_log
+                .with_partition(lane.part, |it| it.pace.record_refusal(clock::now().mono));
+            report_pace(node, lane.part, is_changed, "refused");
+            // Those that have given up were told that their request may be stored.
+            let waiting = batch.into_iter().filter(|it| !it.unit.reply.is_closed()).collect();
+            lock(&lane.queue).put_back(waiting);
+            tokio::time::sleep(pace.refusal_pause(rand::random())).await;
+        }
     }
 }
 
-async fn append_to_log(node: &Node, part: PartitionId, records: Vec<RequestRecord>) -> Reply {
+/// The log refused an append, which had no effect.
+struct Refused;
+
+async fn append_to_log(node: &Node, part: PartitionId, records: Vec<RequestRecord>) -> Result<Outcome, Refused> {
     let entry = |(key, value): RequestRecord| Entry { key, value: Some(value) };
     let entries: Vec<Entry> = records.into_iter().map(entry).collect();
     let partition = Partition {
         topic: REQUESTS,
         number: part,
     };
+    let pace = node.request_log.pace(part);
     let sent = clock::now().mono;
-    let result = node.log.append(partition, None, &entries, APPEND_TIMEOUT).await;
+    let started = Instant::now();
+    let mut append = std::pin::pin!(node.log.append(partition, None, &entries, pace.append_limit()));
+    let overdue = tokio::time::timeout_at(started + pace.check_after(), &mut append).await;
+    let result = match overdue {
+        Ok(result) => result,
+        Err(_) => {
+            // This read tells whether the log is slow or silent.
+            node.refresh_owners.notify_one();
+            match tokio::time::timeout_at(started + pace.silent_after(), &mut append).await {
+                Ok(result) => result,
+                Err(_) if node.has_log_answered_since(sent) => append.await,
+                Err(_) => Err(Error::Call(platform::Error::Lost)),
+            }
+        }
+    };
     let now = clock::now().mono;
     match result {
         Ok(()) => {
             let time = now.saturating_sub(sent);
             node.metrics.append_seconds.observe(time.as_secs_f64());
-            let mut partitions = lock(&node.request_log.partitions);
-            let state = partitions.entry(part).or_default();
-            state.router.record_append(now, time);
-            state.rate.record(now, REQUEST_WEIGHT * entries.len() as u64);
+            let is_changed = node.request_log.with_partition(part, |state| {
+                state.rate.record(now, REQUEST_WEIGHT * entries.len() as u64);
+                state.pace.record_append(now, time)
+            });
+            report_pace(node, part, is_changed, "answered");
             watch::report_log_answer(node, true);
-            Reply::Done
+            Ok(Outcome::Stored)
+        }
+        Err(Error::Call(platform::Error::Unavailable)) => {
+            // A refusal is an answer: the log is not silent.
+            watch::report_log_answer(node, true);
+            watch::report_log_error(node, "append", &Error::Call(platform::Error::Unavailable));
+            Err(Refused)
         }
         Err(err) => {
             watch::report_log_error(node, "append", &err);
-            if sent + APPEND_TIMEOUT <= now {
+            if sent + pace.silent_after() <= now {
                 node.record_log_timeout(sent);
                 // While no request is sent to the log, this read finds out when it answers again.
                 node.refresh_owners.notify_one();
             }
             match err {
-                Error::Call(platform::Error::Lost) | Error::UnexpectedResponse { .. } => Reply::Unknown,
-                _ => Reply::Unavailable,
+                Error::Call(platform::Error::Lost) | Error::UnexpectedResponse { .. } => Ok(Outcome::Unknown),
+                _ => Ok(Outcome::Unavailable),
             }
         }
     }
 }
 
-async fn call_aggregator(node: &Node, part: PartitionId, records: Vec<RequestRecord>) -> Reply {
-    let ranked = ranked_aggregators(node, part);
-    let picked = lock(&node.request_log.avoided).pick(clock::now().mono, &ranked, node.settings.peer_addr);
-    let Some(addr) = picked else {
-        return Reply::Unavailable;
+/// Writes a line when the number of appenders of a partition has changed here.
+fn report_pace(node: &Node, part: PartitionId, is_changed: bool, cause: &str) {
+    if is_changed {
+        let pace = node.request_log.pace(part);
+        node.decision_log.write(
+            "appenders",
+            json!({ "part": part, "count": pace.appenders(), "answer_ms": pace.answer().as_millis() as u64, "cause": cause }),
+        );
+    }
+}
+
+/// Sends requests through an appender. While it does not answer, it is asked whether it is alive,
+/// so that one that waits for a slow log is told from one that is gone.
+async fn call_appender(node: &Node, part: PartitionId, records: Vec<RequestRecord>, deadline: Instant) -> Outcome {
+    let ranked = ranked_appenders(node, part);
+    let pace = node.request_log.pace(part);
+    let Some(addr) = pick_appender(node, &ranked, pace.appenders()) else {
+        return Outcome::Unavailable;
+    };
+    let left = deadline.saturating_duration_since(Instant::now());
+    let is_substitute = acceptance::place(&ranked, addr).is_some_and(|it| pace.appenders() <= it);
+    let call = Call::Store {
+        part,
+        records: records.clone(),
+        wait_ms: (left - REPLY_MARGIN.min(left / 4)).as_millis() as u64,
+        is_substitute,
+    };
+    let mut call = std::pin::pin!(peer::call_instance(node, addr, call, left));
+    let check_after = pace.check_after();
+    let reply = loop {
+        match tokio::time::timeout(check_after, &mut call).await {
+            Ok(reply) => break reply,
+            Err(_) => {
+                let check = peer::call_instance(node, addr, Call::AppendPace { part }, PACE_TIMEOUT);
+                let pace = tokio::select! {
+                    reply = &mut call => break reply,
+                    pace = check => pace,
+                };
+                let Reply::Pace(report) = pace else {
+                    break Reply::Unknown;
+                };
+                record_report(node, part, &report);
+            }
+        }
+    };
+    let reply = match reply {
+        // The call did not arrive, or the instance is of the previous build and cannot read it.
+        Reply::Unavailable => {
+            let timeout = PREVIOUS_BUILD_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
+            peer::call_instance(node, addr, Call::AppendRecords { part, records }, timeout).await
+        }
+        reply => reply,
     };
-    let reply = peer::call_instance(node, addr, Call::AppendRecords { part, records }, RELAY_TIMEOUT).await;
     let now = clock::now().mono;
-    match reply {
-        Reply::Appended(rate) => {
-            lock(&node.request_log.partitions)
-                .entry(part)
-                .or_default()
-                .router
-                .record_rate(now, rate);
-            Reply::Done
+    let (outcome, report) = match reply {
+        Reply::Stored(report) => (Outcome::Stored, Some(report)),
+        Reply::Busy(report) => (Outcome::Busy(Duration::from_millis(report.drain_ms)), Some(report)),
+        Reply::Moved(report) => (Outcome::Moved, Some(report)),
+        Reply::Appended(_) => (Outcome::Stored, None),
+        Reply::LogSilent => {
+            lock(&node.request_log.avoided).record_silent_log(now, addr);
+            return Outcome::Unavailable;
         }
         reply => {
             lock(&node.request_log.avoided).record_failure(now, addr);
-            reply
+            return match reply {
+                Reply::Unavailable => Outcome::Unavailable,
+                _ => Outcome::Unknown,
+            };
         }
+    };
+    lock(&node.request_log.avoided).record_answer(addr);
+    if let Some(report) = report {
+        record_report(node, part, &report);
     }
+    outcome
 }
 
-/// Handles the call of an instance for which this one is an aggregator.
-pub(crate) async fn handle_call(node: &Arc<Node>, part: PartitionId, records: Vec<RequestRecord>) -> Reply {
-    if !node.is_log_reachable() {
-        return Reply::Unavailable;
+fn record_report(node: &Node, part: PartitionId, report: &AppendReport) {
+    let now = clock::now().mono;
+    node.request_log.with_partition(part, |it| it.pace.record_report(now, report));
+}
+
+/// Handles the call of an instance for which this one is an appender.
+pub(crate) async fn handle_store(
+    node: &Arc<Node>,
+    part: PartitionId,
+    records: Vec<RequestRecord>,
+    wait: Duration,
+    is_substitute: bool,
+) -> Reply {
+    let outcome = match node.is_log_reachable() {
+        true if is_substitute || accepts(node, part) => {
+            append(node, part, Route::Direct, records, Instant::now() + wait, is_substitute).await
+        }
+        true => Outcome::Moved,
+        false => Outcome::Unavailable,
+    };
+    match outcome {
+        Outcome::Stored => Reply::Stored(report(node, part)),
+        Outcome::Busy(_) => Reply::Busy(report(node, part)),
+        Outcome::Moved => Reply::Moved(report(node, part)),
+        Outcome::Unavailable => Reply::LogSilent,
+        Outcome::Unknown => Reply::Unknown,
     }
-    match append(node, part, Route::Direct, records, APPEND_TIMEOUT).await {
-        Reply::Done => {
-            let rate = lock(&node.request_log.partitions).entry(part).or_default().rate;
+}
+
+/// Handles the same call of an instance of the previous build.
+pub(crate) async fn handle_append(node: &Arc<Node>, part: PartitionId, records: Vec<RequestRecord>) -> Reply {
+    match handle_store(node, part, records, PREVIOUS_BUILD_TIMEOUT, true).await {
+        Reply::Stored(_) => {
+            let rate = node.request_log.with_partition(part, |it| it.rate);
             Reply::Appended(rate.rate(clock::now().mono))
         }
+        Reply::Busy(_) | Reply::Moved(_) | Reply::LogSilent => Reply::Unavailable,
         reply => reply,
     }
 }
 
-/// Returns the possible aggregators of a partition, best first.
-fn ranked_aggregators(node: &Node, part: PartitionId) -> Vec<SocketAddr> {
+/// Returns the pace of this instance's appends to a partition.
+pub(crate) fn report(node: &Node, part: PartitionId) -> AppendReport {
+    let pace = node.request_log.pace(part);
+    AppendReport {
+        answer_ms: pace.answer().as_millis() as u64,
+        drain_ms: node.request_log.drain(part).as_millis() as u64,
+        appenders: pace.appenders() as u8,
+    }
+}
+
+/// Returns whether this instance appends requests to a partition.
+fn accepts(node: &Node, part: PartitionId) -> bool {
+    let place = acceptance::place(&ranked_appenders(node, part), node.settings.peer_addr);
+    let now = clock::now().mono;
+    // An instance that others take for an owner may not know it yet.
+    place.is_none_or(|it| node.request_log.pace(part).accepts(now, it))
+}
+
+fn pick_appender(node: &Node, ranked: &[SocketAddr], appenders: usize) -> Option<SocketAddr> {
+    lock(&node.request_log.avoided).pick(clock::now().mono, ranked, appenders, node.settings.peer_addr)
+}
+
+/// Returns the possible appenders of a partition, best first.
+fn ranked_appenders(node: &Node, part: PartitionId) -> Vec<SocketAddr> {
     let catalog = node.catalog();
     let busy: Vec<PartitionId> = catalog.pools.keys().map(|it| node.partition_of(it)).collect();
     let owners = node.owners.load();
@@ -221,7 +501,7 @@
     for (owned, addr) in owners.iter() {
         *has_pools.entry(*addr).or_default() |= busy.contains(owned);
     }
-    acceptance::rank_aggregators(part, has_pools)
+    acceptance::rank_appenders(part, has_pools)
 }
 
 /// Encodes a request for a job as a record.
--- a/fleet/tests/test_log.rs
+++ b/fleet/tests/test_log.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use oriole_fleet::log::Log;
-use oriole_platform::log::{AppendPosition, Entry, Error, JOBS, LogClient, Partition};
+use oriole_platform::log::{AppendPosition, Entry, Error, JOBS, LogClient, Partition, REQUESTS};
 use oriolewall::platform;
 use prometheus::{IntCounterVec, Opts};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -40,6 +40,44 @@
     (addr, calls)
 }
 
+/// Starts a log that answers appends of requests after a time, and other calls at once if `is_prompt`,
+/// otherwise after the same time. Returns its address and the number of appends.
+async fn start_slow_log(answer: Duration, is_prompt: bool) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let appends = Arc::new(AtomicUsize::new(0));
+    let counter = appends.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counter = counter.clone();
+            tokio::spawn(async move {
+                let mut buffer = [0; 4096];
+                while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                    let is_append = buffer[..length].windows(14).any(|it| it == b"keyed.requests");
+                    counter.fetch_add(usize::from(is_append), Ordering::SeqCst);
+                    if is_append || !is_prompt {
+                        tokio::time::sleep(answer).await;
+                    }
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}").await;
+                }
+            });
+        }
+    });
+    (addr, appends)
+}
+
+async fn append_request(log: &Log) -> Result<(), Error> {
+    let part = Partition {
+        topic: REQUESTS,
+        number: 0,
+    };
+    let entry = Entry {
+        key: "job".to_owned(),
+        value: None,
+    };
+    log.append(part, None, &[entry], Duration::from_millis(2600)).await
+}
+
 fn log(addr: SocketAddr) -> Log {
     let resends = IntCounterVec::new(Opts::new("resends", "resends"), &["outcome"]).unwrap();
     Log::new(LogClient::new(addr), resends)
@@ -97,3 +135,27 @@
     assert_eq!(joined, Err(Error::Call(platform::Error::Lost)));
     assert_eq!(calls.load(Ordering::SeqCst), 1);
 }
+
+#[tokio::test]
+async fn an_append_of_requests_is_not_sent_again_while_the_log_is_slow() {
+    // Each resend occupies the partition for as long as the first attempt: resends of 41 instances
+    // filled its queue of 2 s.
+    let (addr, appends) = start_slow_log(Duration::from_millis(500), false).await;
+    let log = log(addr);
+    let (result, _) = tokio::join!(append_request(&log), append(&log, 0, Duration::from_millis(1500)));
+    result.unwrap();
+    assert_eq!(appends.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn an_append_of_requests_is_sent_again_if_the_log_answers_later_calls() {
+    let (addr, appends) = start_slow_log(Duration::from_millis(500), true).await;
+    let log = log(addr);
+    let later_call = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        append(&log, 0, Duration::from_millis(1500)).await
+    };
+    let (result, later) = tokio::join!(append_request(&log), later_call);
+    result.and(later).unwrap();
+    assert!(1 < appends.load(Ordering::SeqCst));
+}
--- a/lib/src/acceptance.rs
+++ b/lib/src/acceptance.rs
@@ -1,75 +1,194 @@
-//! Which way a caller's request takes to the log: an append by the instance that received
-//! it, or through an aggregator, an instance that appends the requests of many others.
+//! Which instances append callers' requests to a partition of the log, and how long each step
+//! of the way there may take.
 //!
-//! Load pattern: a queue in its turn gets several times the requests that its partition
-//! takes as single appends, spread over a hundred and more instances, so that each of them
-//! has little to batch by itself. Requests then go through a few aggregators, whose
-//! appends hold tens of records. A partition with little load is appended to directly, as
-//! that takes one hop less and depends on no other instance.
+//! Load pattern: requests of one pool arrive at a hundred and more instances, while the log
+//! takes the appends of a partition one at a time and refuses further ones once two seconds
+//! of them are queued. With an append of 3 ms this queue is short even if every instance
+//! appends by itself. When the log becomes 28 to 79 times as slow within one append, eight to
+//! 24 appends fill it, and each instance finds out only by an append of its own. So at any
+//! time only a few ranked appenders append, each with one append in flight, and all other
+//! instances send their requests through these. Their number follows from the time of an
+//! append, so that they fill a fraction of the queue.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
-/// Time of an append from which on its partition is crowded: about ten appends of 3 ms each
-/// were ahead of it.
-const CROWDED_APPEND: Duration = Duration::from_millis(40);
-/// Requests a second at one aggregator below which the partition is calm. With all
-/// aggregators that is under half of the appends that a partition takes.
-const CALM_RATE: u64 = 50;
-/// Shortest time for which an instance uses aggregators. The rate that they report follows
-/// a change within it.
-const MIN_RELAY_TIME: Duration = Duration::from_secs(2);
-/// Number of aggregators of a partition. Each has one append in flight.
-const AGGREGATORS: usize = 3;
-/// Time for which an aggregator that failed is avoided.
-const AVOID_TIME: Duration = Duration::from_secs(2);
+use crate::rpc::AppendReport;
+
+/// Queued appends from which on a partition refuses further ones.
+const QUEUE_BOUND: Duration = Duration::from_secs(2);
+/// Part of the queue that the appenders of a partition may fill. The rest is left to owners that
+/// remove requests or hand them on, to resends, and to instances that cannot reach an appender.
+const QUEUE_SHARE: u32 = 8;
+/// Most appenders of a partition. Two of them may fail at the same time.
+pub const MAX_APPENDERS: usize = 3;
+/// Number of appenders that fail to store a request before its instance appends it by itself.
+const MAX_FAILURES: usize = 2;
+/// First and longest time for which an appender that failed is avoided. The time doubles while it
+/// goes on failing, as each attempt delays requests.
+const AVOID_TIME: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(8));
+
+/// Time for which an appender is avoided that the log does not answer. It finds out within this
+/// time when the log answers again.
+const SILENT_LOG_TIME: Duration = Duration::from_millis(300);
+
+/// Weight of an append in the mean answer time if it took at least half the mean and no longer.
+/// Others replace the mean, as the log becomes slow and recovers from one append to the next.
+const LATEST_WEIGHT: f64 = 0.5;
+/// Time for which an observation holds. After it an instance that is asked to append does so, as
+/// only an append or a report tells that the log has recovered.
+const VALIDITY: Duration = Duration::from_secs(1);
+/// Answer time that is assumed before the first append.
+const INITIAL_ANSWER: Duration = Duration::from_millis(10);
+/// Time after which an append without an answer is given up if the log answers nothing else
+/// either, in mean answer times and at least.
+const SILENT_AFTER: (u32, Duration) = (4, Duration::from_millis(800));
+/// Time after which an append is given up although the log answers other calls: a full queue and
+/// the longest append observed.
+const APPEND_LIMIT: Duration = Duration::from_millis(2600);
+/// Limits of the time after which an appender that has not answered is asked whether it is alive:
+/// the mean answer time between them. A paused appender is found out within 0.3 s more, so that
+/// its requests can be stored through another one.
+const CHECK_AFTER: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(500));
+/// Limits of the time between a refusal and the next append.
+const REFUSAL_PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(250));
 
 /// A way of a request to the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Route {
     /// An append by this instance.
     Direct,
-    /// A call to an aggregator.
-    Aggregated,
+    /// A call to an appender.
+    Relayed,
 }
 
-/// Chooses the route for the requests of one partition.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Router {
-    /// When the partition was last found crowded; `None` while requests go directly.
-    crowded_at: Option<Duration>,
+/// What an instance has observed of the appends to a partition, by itself or through the
+/// reports of appenders.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Mean time until an append is answered, seconds.
+    answer: f64,
+    /// Time until requests that arrive at an appender now are stored, as last reported.
+    drain: Duration,
+    appenders: usize,
+    observed_at: Option<Duration>,
 }
 
-impl Router {
-    /// Returns the route of the next request.
-    pub fn route(&self) -> Route {
-        match self.crowded_at {
-            Some(_) => Route::Aggregated,
-            None => Route::Direct,
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace {
+            answer: INITIAL_ANSWER.as_secs_f64(),
+            drain: Duration::ZERO,
+            // An instance that has just started uses the best appender only, whose report tells the
+            // number.
+            appenders: 1,
+            observed_at: None,
         }
     }
+}
 
-    /// Records a direct append that was answered now.
-    pub fn record_append(&mut self, now: Duration, time: Duration) {
-        if CROWDED_APPEND <= time {
-            self.crowded_at = Some(now);
-        }
+impl Pace {
+    /// Records the answer time of an append. Returns whether the number of appenders has changed.
+    pub fn record_append(&mut self, now: Duration, time: Duration) -> bool {
+        self.observed_at = Some(now);
+        let latest = time.as_secs_f64();
+        self.answer = match self.answer / 2.0 <= latest && latest <= self.answer {
+            true => self.answer + LATEST_WEIGHT * (latest - self.answer),
+            false => latest.max(0.001),
+        };
+        // Each appender has one append in flight, so an append waits for those of the others.
+        let single = self.answer / self.appenders as f64;
+        let share = QUEUE_BOUND / QUEUE_SHARE;
+        self.set_appenders((share.as_secs_f64() / single) as usize)
     }
 
-    /// Records what an aggregator reports: how many requests a second it stores.
-    pub fn record_rate(&mut self, now: Duration, requests_per_second: u64) {
-        if requests_per_second < CALM_RATE && self.crowded_at.is_some_and(|it| it + MIN_RELAY_TIME <= now) {
-            self.crowded_at = None;
-        }
+    /// Records that the partition refused an append. Returns whether the number of appenders has
+    /// changed.
+    pub fn record_refusal(&mut self, now: Duration) -> bool {
+        self.observed_at = Some(now);
+        self.set_appenders(1)
+    }
+
+    /// Adopts what an appender reports.
+    pub fn record_report(&mut self, now: Duration, report: &AppendReport) {
+        self.observed_at = Some(now);
+        self.answer = (report.answer_ms as f64 / 1000.0).max(0.001);
+        self.drain = Duration::from_millis(report.drain_ms);
+        self.set_appenders(report.appenders as usize);
+    }
+
+    fn set_appenders(&mut self, count: usize) -> bool {
+        let count = count.clamp(1, MAX_APPENDERS);
+        std::mem::replace(&mut self.appenders, count) != count
+    }
+
+    /// Whether an instance that is no appender may append a request by itself that several
+    /// appenders have failed to store. While the log is slow, it tries further appenders.
+    pub fn allows_direct(&self, failures: usize) -> bool {
+        MAX_FAILURES <= failures && self.appenders == MAX_APPENDERS
+    }
+
+    /// Whether an instance at this place among the ranked ones appends the requests that others
+    /// send to it although better ones may be alive.
+    pub fn accepts(&self, now: Duration, place: usize) -> bool {
+        place < self.appenders || self.observed_at.is_none_or(|it| it + VALIDITY < now)
+    }
+
+    /// Number of instances that append.
+    pub fn appenders(&self) -> usize {
+        self.appenders
+    }
+
+    /// Expected time until an append that is sent now is answered.
+    pub fn answer(&self) -> Duration {
+        Duration::from_secs_f64(self.answer).min(QUEUE_BOUND)
+    }
+
+    /// Expected time until a request is stored that this number of appends have to carry or precede.
+    pub fn wait(&self, appends: usize) -> Duration {
+        self.answer() * appends as u32
+    }
+
+    /// Expected time until an appender has stored a request that is sent to it now: half of the
+    /// append in flight, and the next one. It stays below the time that callers wait, as only
+    /// requests that are sent find out that the log has recovered.
+    pub fn relay_wait(&self) -> Duration {
+        self.answer().mul_f64(1.5).min(QUEUE_BOUND)
+    }
+
+    /// Time until requests that arrive at an appender now are stored, as last reported.
+    pub fn drain(&self) -> Duration {
+        self.drain
+    }
+
+    /// Time after which an append is given up if the log has answered nothing since.
+    pub fn silent_after(&self) -> Duration {
+        (self.answer() * SILENT_AFTER.0).clamp(SILENT_AFTER.1, APPEND_LIMIT)
+    }
+
+    /// Time after which an append is given up in any case.
+    pub fn append_limit(&self) -> Duration {
+        APPEND_LIMIT
+    }
+
+    /// Time after which an appender that has not answered is asked whether it is alive.
+    pub fn check_after(&self) -> Duration {
+        self.answer().clamp(CHECK_AFTER.0, CHECK_AFTER.1)
+    }
+
+    /// Time between a refusal and the next append: about the time in which the partition carries
+    /// out one append. `random` is drawn uniformly from 0 to 1.
+    pub fn refusal_pause(&self, random: f64) -> Duration {
+        self.answer().clamp(REFUSAL_PAUSE.0, REFUSAL_PAUSE.1).mul_f64(0.5 + random)
     }
 }
 
-/// Returns the instances that may aggregate the requests of a partition, best first, out of
+/// Returns the instances that may append the requests of a partition, best first, out of
 /// the instances that own partitions. Owners with pools come last, as starting tasks takes
 /// most of their processor time.
-pub fn rank_aggregators<I>(part: u32, owners: I) -> Vec<SocketAddr>
+pub fn rank_appenders<I>(part: u32, owners: I) -> Vec<SocketAddr>
 where
     I: IntoIterator<Item = (SocketAddr, bool)>,
 {
@@ -81,9 +200,9 @@
     ranked.into_iter().map(|(_, _, addr)| addr).collect()
 }
 
-/// Returns whether an instance is one of the aggregators that others use while none fails.
-pub fn is_aggregator(ranked: &[SocketAddr], addr: SocketAddr) -> bool {
-    ranked.iter().take(AGGREGATORS).any(|it| *it == addr)
+/// Returns the place of an instance among the ranked ones.
+pub fn place(ranked: &[SocketAddr], addr: SocketAddr) -> Option<usize> {
+    ranked.iter().position(|it| *it == addr)
 }
 
 /// Hash that orders instances differently for each partition.
@@ -94,27 +213,46 @@
     })
 }
 
-/// Instances that failed as aggregators and are avoided for a time.
+/// Instances that failed as appenders and are avoided for a time.
 #[derive(Clone, Debug, Default)]
 pub struct Avoided {
-    until: SmallVec<[(SocketAddr, Duration); AGGREGATORS]>,
+    /// Address, end of the time, and its length.
+    until: SmallVec<[(SocketAddr, Duration, Duration); MAX_APPENDERS]>,
 }
 
 impl Avoided {
-    /// Records that an aggregator failed.
+    /// Records that an appender failed.
     pub fn record_failure(&mut self, now: Duration, addr: SocketAddr) {
-        self.until.retain(|(it, until)| *it != addr && now < *until);
-        self.until.push((addr, now + AVOID_TIME));
+        let before = self.until.iter().find(|(it, _, _)| *it == addr).copied();
+        let time = match before {
+            // Calls of the same batch time fail together.
+            Some((_, until, _)) if now < until => return,
+            Some((_, until, time)) if now < until + AVOID_TIME.1 => (time * 2).min(AVOID_TIME.1),
+            _ => AVOID_TIME.0,
+        };
+        self.until.retain(|(it, until, _)| *it != addr && now < *until + AVOID_TIME.1);
+        self.until.push((addr, now + time, time));
+    }
+
+    /// Records that an appender is alive but that the log does not answer it.
+    pub fn record_silent_log(&mut self, now: Duration, addr: SocketAddr) {
+        self.until.retain(|(it, _, _)| *it != addr);
+        self.until.push((addr, now + SILENT_LOG_TIME, SILENT_LOG_TIME));
+    }
+
+    /// Records that an appender answered.
+    pub fn record_answer(&mut self, addr: SocketAddr) {
+        self.until.retain(|(it, _, _)| *it != addr);
     }
 
-    /// Picks the aggregator that an instance uses: one of the best, a different one for
+    /// Picks the appender that an instance uses: one of the best `appenders`, a different one for
     /// different instances, and the others in turn while these are avoided. `None` if
     /// there is no other instance left.
-    pub fn pick(&self, now: Duration, ranked: &[SocketAddr], instance: SocketAddr) -> Option<SocketAddr> {
-        let best = AGGREGATORS.min(ranked.len());
+    pub fn pick(&self, now: Duration, ranked: &[SocketAddr], appenders: usize, instance: SocketAddr) -> Option<SocketAddr> {
+        let best = appenders.min(ranked.len());
         let offset = (hash(0, instance) % best.max(1) as u64) as usize;
         let is_usable = |addr: &SocketAddr| {
-            let is_avoided = self.until.iter().any(|(it, until)| it == addr && now < *until);
+            let is_avoided = self.until.iter().any(|(it, until, _)| it == addr && now < *until);
             *addr != instance && !is_avoided
         };
         let in_turn = ranked[offset..best].iter().chain(&ranked[..offset]).chain(&ranked[best..]);
--- a/lib/src/append_queue.rs
+++ b/lib/src/append_queue.rs
@@ -3,9 +3,10 @@
 //! Load pattern: in its turn a queue gets more submissions a second than the log makes
 //! appends to one partition, which it processes one at a time. With an append for each
 //! request the partition's queue grows until answers come after the callers' deadlines.
-//! Here one append is in flight for each partition and instance; requests that arrive
+//! Here one append is in flight for each partition and appender; requests that arrive
 //! meanwhile share the next one. So the partition's queue is at most as long as there are
-//! instances, and batches grow with the load.
+//! appenders, and batches grow with the load. An append that the log refuses had no effect; its
+//! requests go back to the front and are sent again, or withdrawn when their callers stop waiting.
 
 use std::collections::VecDeque;
 
@@ -19,31 +20,43 @@
 #[derive(Debug)]
 pub struct AppendQueue<T> {
     waiting: VecDeque<Waiting<T>>,
-    in_flight: bool,
+    waiting_bytes: usize,
+    in_flight: usize,
+    max_in_flight: usize,
     next_ticket: Ticket,
 }
 
+/// A unit that waits for an append, or is part of one.
 #[derive(Debug)]
-struct Waiting<T> {
+pub struct Waiting<T> {
     ticket: Ticket,
     bytes: usize,
-    unit: T,
+    /// The records, and what belongs to them.
+    pub unit: T,
 }
 
 impl<T> Default for AppendQueue<T> {
     fn default() -> AppendQueue<T> {
+        AppendQueue::new(1)
+    }
+}
+
+impl<T> AppendQueue<T> {
+    /// Creates a queue of which up to `max_in_flight` batches are sent at the same time.
+    pub fn new(max_in_flight: usize) -> AppendQueue<T> {
         AppendQueue {
             waiting: VecDeque::new(),
-            in_flight: false,
+            waiting_bytes: 0,
+            in_flight: 0,
+            max_in_flight,
             next_ticket: 0,
         }
     }
-}
 
-impl<T> AppendQueue<T> {
     /// Adds a unit whose records take this many bytes and go into the same append.
     pub fn push(&mut self, bytes: usize, unit: T) -> Ticket {
         self.next_ticket += 1;
+        self.waiting_bytes += bytes;
         self.waiting.push_back(Waiting {
             ticket: self.next_ticket,
             bytes,
@@ -52,33 +65,56 @@
         self.next_ticket
     }
 
-    /// Removes a unit that is not part of an append yet. Returns `None` if it is, or was.
+    /// Removes a unit that is not part of an append in flight. Returns `None` if it is, or was.
     pub fn withdraw(&mut self, ticket: Ticket) -> Option<T> {
         let position = self.waiting.iter().position(|it| it.ticket == ticket)?;
-        self.waiting.remove(position).map(|it| it.unit)
+        let waiting = self.waiting.remove(position)?;
+        self.waiting_bytes -= waiting.bytes;
+        Some(waiting.unit)
     }
 
-    /// Returns the units of the next append; `None` while one is in flight or if nothing
+    /// Returns the units of the next append; `None` while enough are in flight or if nothing
     /// waits. [`AppendQueue::finish`] has to be called when the append has ended.
-    pub fn next_batch(&mut self) -> Option<Vec<T>> {
-        if self.in_flight || self.waiting.is_empty() {
+    pub fn next_batch(&mut self) -> Option<Vec<Waiting<T>>> {
+        if self.max_in_flight <= self.in_flight || self.waiting.is_empty() {
             return None;
         }
         let mut bytes = 0;
-        let mut units = Vec::new();
+        let mut batch = Vec::new();
         while let Some(first) = self.waiting.front() {
-            if !units.is_empty() && MAX_BATCH_BYTES < bytes + first.bytes {
+            if !batch.is_empty() && MAX_BATCH_BYTES < bytes + first.bytes {
                 break;
             }
             bytes += first.bytes;
-            units.extend(self.waiting.pop_front().map(|it| it.unit));
+            batch.extend(self.waiting.pop_front());
         }
-        self.in_flight = true;
-        Some(units)
+        self.waiting_bytes -= bytes;
+        self.in_flight += 1;
+        Some(batch)
     }
 
-    /// Ends the append in flight.
+    /// Returns units of an append that had no effect to the front of the queue. The append still
+    /// counts as in flight.
+    pub fn put_back(&mut self, batch: Vec<Waiting<T>>) {
+        for waiting in batch.into_iter().rev() {
+            self.waiting_bytes += waiting.bytes;
+            self.waiting.push_front(waiting);
+        }
+    }
+
+    /// Ends an append in flight.
     pub fn finish(&mut self) {
-        self.in_flight = false;
+        self.in_flight -= 1;
+    }
+
+    /// Number of appends in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
+    /// Number of appends, after those in flight, by which a unit of this many bytes is stored that
+    /// is added now.
+    pub fn appends_waiting(&self, bytes: usize) -> usize {
+        (self.waiting_bytes + bytes).div_ceil(MAX_BATCH_BYTES)
     }
 }
--- a/lib/src/reachability.rs
+++ b/lib/src/reachability.rs
@@ -38,6 +38,12 @@
         self.last_timeout = self.last_timeout.max(sent);
     }
 
+    /// Whether the log has answered a call since one was sent that has no answer yet. Then it is
+    /// slow, or the answer was lost, but it is not silent.
+    pub fn has_answered_since(&self, sent: Duration) -> bool {
+        sent < self.last_answer
+    }
+
     /// Time since the last answer.
     pub fn silence(&self, now: Duration) -> Duration {
         now.saturating_sub(self.last_answer)
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Time for which a request that certainly had no effect is tried again. Within it a broken
-/// connection is replaced and the other route tried.
+/// connection is replaced and another appender tried.
 pub const PATIENCE: Duration = Duration::from_millis(120);
 /// Shortest and longest time after which callers are told to return.
 const RETURN_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(5));
@@ -26,8 +26,8 @@
     NoHistory,
     /// The log does not answer, here and through other instances; the time since it last did.
     LogSilent(Duration),
-    /// The log answers but takes no more appends.
-    LogBusy,
+    /// The log answers, but what waits for it takes too long; the time until that is stored.
+    LogBusy(Duration),
     /// The owner of the pool does not answer, as while a pool changes hands.
     OwnerSilent,
 }
@@ -39,17 +39,17 @@
             Cause::NoConfiguration => "no_configuration",
             Cause::NoHistory => "no_configuration_history",
             Cause::LogSilent(_) => "log_silent",
-            Cause::LogBusy => "log_busy",
+            Cause::LogBusy(_) => "log_busy",
             Cause::OwnerSilent => "owner_silent",
         }
     }
 
     /// Time after which the caller should return. An outage is taken to last as long again as
-    /// it has lasted. `random` is drawn uniformly from 0 to 1.
+    /// it has lasted, and a busy log to be free once it has stored what waits. `random` is drawn uniformly from 0 to 1.
     pub fn retry_after(self, random: f64) -> Duration {
         let expected = match self {
             Cause::LogSilent(outage) => outage,
-            Cause::LogBusy => RETURN_RANGE.0 * 2,
+            Cause::LogBusy(drain) => drain,
             Cause::NoConfiguration | Cause::NoHistory | Cause::OwnerSilent => RETURN_RANGE.0,
         };
         let spread = 1.0 + RETURN_SPREAD * (2.0 * random - 1.0);
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -49,7 +49,7 @@
         /// Name of the queue.
         queue: QueueId,
     },
-    /// Appends callers' requests on behalf of another instance.
+    /// Appends callers' requests on behalf of an instance of an earlier build.
     AppendRecords {
         /// Partition of the jobs' pool.
         part: PartitionId,
@@ -78,6 +78,33 @@
     },
     /// Reports an owner's usage to the coordinator, which answers with its grants.
     Report(UsageReport),
+    /// Appends callers' requests on behalf of another instance.
+    Store {
+        /// Partition of the jobs' pool.
+        part: PartitionId,
+        /// The requests.
+        records: Vec<RequestRecord>,
+        /// Time for which the callers still wait, milliseconds.
+        wait_ms: u64,
+        /// Whether the calling instance avoids the appenders that are ranked before this one.
+        is_substitute: bool,
+    },
+    /// Asks an appender whether it is alive, and for the pace of its appends to a partition.
+    AppendPace {
+        /// The partition.
+        part: PartitionId,
+    },
+}
+
+/// What an appender reports of its appends to a partition.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppendReport {
+    /// Mean time until an append is answered, milliseconds.
+    pub answer_ms: u64,
+    /// Time until requests that arrive now are stored, milliseconds.
+    pub drain_ms: u64,
+    /// Number of instances that should append.
+    pub appenders: u8,
 }
 
 /// Usage and demand of the owner of a partition, from which teams' caps are divided.
@@ -104,7 +131,7 @@
     Pending(u64),
     /// The request was carried out.
     Done,
-    /// The records were appended. The number is that of the requests that the aggregator
+    /// The records were appended. The number is that of the requests that the appender
     /// appends to the partition per second.
     Appended(u64),
     /// For each of the workers, in order, whether it has no runs.
@@ -123,4 +150,14 @@
     Quarantined,
     /// Whether the owner has each of the jobs, in order.
     Holdings(Vec<Holding>),
+    /// The requests of a [`Call::Store`] are in the log.
+    Stored(AppendReport),
+    /// They were certainly not appended, as they could not have been stored in time.
+    Busy(AppendReport),
+    /// They were certainly not appended, as fewer instances should append, of which this is none.
+    Moved(AppendReport),
+    /// They were certainly not appended, as the log does not answer the appender.
+    LogSilent,
+    /// Answer to [`Call::AppendPace`].
+    Pace(AppendReport),
 }
--- a/lib/tests/test_reachability.rs
+++ b/lib/tests/test_reachability.rs
@@ -52,3 +52,14 @@
     }
     assert!(log.calls_for_handover(at(1600)));
 }
+
+#[test]
+fn a_slow_log_is_not_silent() {
+    // The appends of a slow log take longer than their usual limit while reads are answered.
+    let mut log = Reachability::default();
+    log.record_answer(at(0));
+    assert!(!log.has_answered_since(at(100)), "nothing is known yet of a call sent then");
+    log.record_answer(at(420));
+    assert!(log.has_answered_since(at(100)));
+    assert!(log.is_reachable(at(900)));
+}
--- a/lib/tests/test_refusal.rs
+++ b/lib/tests/test_refusal.rs
@@ -24,3 +24,9 @@
     assert!(returns.iter().all(|it| *it <= 300), "{returns:?}");
     assert_eq!(returns[0] + returns[1], 0, "the log is still silent");
 }
+
+#[test]
+fn callers_return_once_a_busy_log_has_stored_what_waits() {
+    let after = |drain_ms| Cause::LogBusy(Duration::from_millis(drain_ms)).retry_after(0.5);
+    assert_eq!([after(0).as_secs(), after(2400).as_secs(), after(60_000).as_secs()], [1, 2, 5]);
+}
--- a/lib/tests/test_resend.rs
+++ b/lib/tests/test_resend.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriolewall::resend::{AnswerTimes, ResendBudget};
+use oriolewall::resend::{AnswerTimes, CallKind, PromptAnswers, ResendBudget};
 
 fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -45,3 +45,27 @@
     }
     assert!(sent <= 60, "{sent} resends of 100 calls without an answer");
 }
+
+#[test]
+fn appends_sent_again_never_fill_the_queue_of_a_slow_partition() {
+    // With 237 ms for each append, a budget of ten resends filled the queue of 2 s by itself.
+    for kind in [CallKind::Commit, CallKind::Requests] {
+        let mut budget = kind.budget();
+        budget.record_call();
+        let sent = (0..100).take_while(|_| budget.take()).count() as u32;
+        assert!(ms(237) * (1 + sent) <= ms(1000), "{sent} resends of {kind:?}");
+    }
+}
+
+#[test]
+fn a_slow_append_of_requests_is_not_taken_for_a_lost_one() {
+    let mut answers = PromptAnswers::default();
+    assert!(!answers.is_lost(ms(1300), ms(100), ms(120)), "the log may be slow");
+    answers.record(ms(150), ms(316));
+    assert!(!answers.is_lost(ms(1300), ms(100), ms(120)), "the log is slow");
+    answers.record(ms(90), ms(4));
+    assert!(!answers.is_lost(ms(1300), ms(100), ms(120)), "this call was sent earlier");
+    answers.record(ms(160), ms(4));
+    assert!(answers.is_lost(ms(220), ms(100), ms(120)), "a later call was answered promptly");
+    assert!(PromptAnswers::default().is_lost(ms(1400), ms(100), ms(120)));
+}
