reachability: an instance that the log turns away stops appending

Cause: an appender that was turned away took each refused append for an answer of a log whose partition is full, so it stayed the appender and requests waited there until their deadlines. Change: once two calls of other kinds are refused with no answer in between, the log counts as unreachable here: requests go to other appenders, and this instance answers that the log is silent. A refused append is no answer any more. The new test fails before (there is no such state).

--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -251,6 +251,11 @@
         self.log_reachability().is_reachable(clock::now().mono)
     }
 
+    /// Records that the log refused a call other than an append of requests.
+    pub(crate) fn record_log_refusal(&self) {
+        self.log_reachability().record_refusal();
+    }
+
     /// Returns whether the log has answered a call since this monotonic time.
     pub(crate) fn has_log_answered_since(&self, sent: Duration) -> bool {
         self.log_reachability().has_answered_since(sent)
--- a/fleet/src/request_log.rs
+++ b/fleet/src/request_log.rs
@@ -331,13 +331,15 @@
             Ok(Outcome::Stored)
         }
         Err(Error::Call(platform::Error::Unavailable)) => {
-            // A refusal is an answer: the log is not silent.
-            watch::report_log_answer(node, true);
-            watch::report_log_error(node, "append", &Error::Call(platform::Error::Unavailable));
-            Err(Refused)
+            watch::report_log_error(node, watch::REQUEST_APPEND, &Error::Call(platform::Error::Unavailable));
+            // An instance that the log turns away is told from a full queue of the partition.
+            match node.is_log_reachable() {
+                true => Err(Refused),
+                false => Ok(Outcome::Unavailable),
+            }
         }
         Err(err) => {
-            watch::report_log_error(node, "append", &err);
+            watch::report_log_error(node, watch::REQUEST_APPEND, &err);
             if sent + pace.silent_after() <= now {
                 node.record_log_timeout(sent);
                 // While no request is sent to the log, this read finds out when it answers again.
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -8,6 +8,7 @@
 use oriole_platform::config::{self, OperatorConfig};
 use oriole_platform::list::WorkerList;
 use oriole_platform::log::{Entry, Error, OPERATORS, Partition, ReadResult, WORKERS};
+use oriolewall::platform;
 use serde_json::json;
 
 use crate::node::{Configuration, Node};
@@ -190,9 +191,16 @@
     }
 }
 
+/// Name of appends of callers' requests in [`report_log_error`]. The log refuses them also while
+/// the queue of their partition is full.
+pub(crate) const REQUEST_APPEND: &str = "append";
+
 /// Counts a failed call to the log and writes a line with its name and error.
 pub(crate) fn report_log_error(node: &Node, call: &'static str, err: &Error) {
     node.metrics.log_errors.inc();
+    if call != REQUEST_APPEND && *err == Error::Call(platform::Error::Unavailable) {
+        node.record_log_refusal();
+    }
     node.decision_log.write(
         "dependency",
         json!({ "name": "log", "state": "failing", "call": call, "error": err.to_string() }),
--- a/lib/src/reachability.rs
+++ b/lib/src/reachability.rs
@@ -6,6 +6,11 @@
 //! timed out with no answer since it was sent: from then on requests are refused before
 //! they are sent, and the platform is told to route callers elsewhere. Single lost answers
 //! do not count, as other calls are answered meanwhile.
+//!
+//! The log may also turn some instances away and serve the others. A refused append of requests
+//! alone does not tell that from a full queue of the partition, so calls of other kinds decide:
+//! once they are refused and none is answered in between, the log counts as unreachable, and
+//! requests go through instances that it serves.
 
 use std::time::Duration;
 
@@ -18,6 +23,10 @@
 /// lost answer; its membership in the group would last for 2 s.
 const HANDOVER_AFTER: Duration = Duration::from_millis(800);
 
+/// Number of refused calls, without an answer in between, from which on the log turns this
+/// instance away. A single one may be beyond the rate limit of all instances together.
+const MIN_REFUSALS: u32 = 2;
+
 /// Answers and failures of calls to the log; times are monotonic.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reachability {
@@ -25,12 +34,20 @@
     last_answer: Duration,
     /// When the last call was sent that timed out.
     last_timeout: Duration,
+    /// Number of refused calls since the last answer, without appends of requests.
+    refusals: u32,
 }
 
 impl Reachability {
     /// Records an answer.
     pub fn record_answer(&mut self, now: Duration) {
         self.last_answer = now;
+        self.refusals = 0;
+    }
+
+    /// Records that a call other than an append of requests was refused.
+    pub fn record_refusal(&mut self) {
+        self.refusals = self.refusals.saturating_add(1);
     }
 
     /// Records that a call which was sent at this time has timed out.
@@ -57,6 +74,7 @@
 
     /// Whether the log answers, as far as is known.
     pub fn is_reachable(&self, now: Duration) -> bool {
-        self.last_answer != Duration::ZERO && self.silence(now) < MAX_SILENCE && self.last_timeout <= self.last_answer
+        let is_turned_away = MIN_REFUSALS <= self.refusals;
+        self.last_answer != Duration::ZERO && self.silence(now) < MAX_SILENCE && self.last_timeout <= self.last_answer && !is_turned_away
     }
 }
--- a/lib/tests/test_reachability.rs
+++ b/lib/tests/test_reachability.rs
@@ -63,3 +63,18 @@
     assert!(log.has_answered_since(at(100)));
     assert!(log.is_reachable(at(900)));
 }
+
+#[test]
+fn a_log_that_turns_this_instance_away_is_unreachable_until_it_answers() {
+    // Replays clauseforge-mu-grown, trouble-3: the log refused a third of the instances for 9 s. One of
+    // them went on as appender of a partition, and the requests of all others waited there.
+    let mut log = Reachability::default();
+    log.record_answer(at(1000));
+    log.record_refusal();
+    assert!(log.is_reachable(at(1100)), "a single call may be beyond the rate limit");
+    log.record_refusal();
+    assert!(!log.is_reachable(at(1200)));
+    log.record_answer(at(1300));
+    log.record_refusal();
+    assert!(log.is_reachable(at(1400)), "other calls are answered in between");
+}
