coordinator: expect demand peaks, and keep their pattern in the log

The forecast of an owner knows only the present slope, which shows once the demand has risen for half a second, while a move takes two seconds. What the coordinator saw of earlier peaks was not kept, neither in memory nor across a change of coordinator.

The coordinator now finds the peaks of each pool in the reports it gets, learns height, length, rise, period and the gap to the pool before with their errors, and raises the demand that the planner assumes when a peak is due, at most to heights that were seen. A forecast is used only if the last one was right. The pattern of a pool is one record in the coordinator's topic, appended in the background at the end of a peak. Settings: [forecast] peaks and move_ms.

In test_peaks, a process that reads a record moves three instances before the peak, and none with forecasts off. Records have 53 to 62 bytes. Not run on a deployment.

--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -21,6 +21,7 @@
 
 use crate::maintenance::MaintenanceWaves;
 use crate::node::{Node, OwnedPartition};
+use crate::peaks::Peaks;
 use crate::{clock, peer, watch};
 
 /// Partition whose owner is the fleet coordinator.
@@ -48,8 +49,18 @@
 pub(crate) struct CoordinatorState {
     /// Allocator of teams' caps, with the epoch of the coordinator that it belongs to.
     allocator: Option<(u64, QuotaAllocator)>,
-    /// Last reported demand on each pool, with the monotonic time of the report.
-    loads: BTreeMap<PoolId, (PoolLoad, Duration)>,
+    /// Last report of each pool.
+    pool_reports: BTreeMap<PoolId, PoolReport>,
+}
+
+/// What the owner of a pool has reported of it.
+#[derive(Clone, Debug)]
+struct PoolReport {
+    load: PoolLoad,
+    /// Monotonic time of the report.
+    at: Duration,
+    /// Epoch of the owner.
+    owner_epoch: u64,
 }
 
 /// Processes a partition owner's report on its use and its pools. Replies with what
@@ -72,7 +83,12 @@
         state.allocator = Some((epoch, QuotaAllocator::new(now)));
     }
     for (pool, load) in &report.loads {
-        state.loads.insert(pool.clone(), (load.clone(), now));
+        let pool_report = PoolReport {
+            load: load.clone(),
+            at: now,
+            owner_epoch: report.epoch,
+        };
+        state.pool_reports.insert(pool.clone(), pool_report);
     }
     let Some((_, allocator)) = state.allocator.as_mut() else {
         return Reply::Unavailable;
@@ -170,6 +186,15 @@
     }
 }
 
+/// What a coordinator works with under one epoch.
+struct Active {
+    session: CoordinatorSession,
+    waves: MaintenanceWaves,
+    planner: Planner,
+    /// Forecast of demand peaks; `None` if it is switched off.
+    peaks: Option<Peaks>,
+}
+
 /// Moves instances and runs maintenance waves while this instance owns
 /// [`COORDINATOR_PART`]. Returns at once if no service that manages instances is
 /// configured.
@@ -178,7 +203,7 @@
         return;
     };
     let machine_client = Arc::new(MachineClient::new(addr, node.settings.name.clone()));
-    let mut active: Option<(CoordinatorSession, MaintenanceWaves, Planner)> = None;
+    let mut active: Option<Active> = None;
     loop {
         tokio::time::sleep(ROUND_INTERVAL).await;
         let Some(owned) = node.owned_partition(COORDINATOR_PART) else {
@@ -189,16 +214,21 @@
             continue;
         }
         let epoch = owned.tenure.since();
-        if active.as_ref().is_none_or(|(session, _, _)| session.fencing_token != epoch) {
+        if active.as_ref().is_none_or(|it| it.session.fencing_token != epoch) {
             active = match CoordinatorSession::start(&node, epoch).await {
-                Ok((session, newest)) => Some((session, MaintenanceWaves::restore(newest), Planner::default())),
+                Ok((session, newest)) => Some(Active {
+                    session,
+                    planner: Planner::default(),
+                    peaks: Peaks::restore(&node, &newest),
+                    waves: MaintenanceWaves::restore(newest),
+                }),
                 Err(err) => {
                     watch::report_log_error(&node, "duties", &err);
                     None
                 }
             };
         }
-        let Some((session, waves, planner)) = active.as_mut() else {
+        let Some(active) = active.as_mut() else {
             continue;
         };
         let all_machines = match machine_client.list(CALL_TIMEOUT).await {
@@ -211,8 +241,14 @@
                 continue;
             }
         };
-        waves.advance(&node, &machine_client, &all_machines, session).await;
-        rebalance(&node, &machine_client, planner, waves, &all_machines.machines, session).await;
+        active
+            .waves
+            .advance(&node, &machine_client, &all_machines, &mut active.session)
+            .await;
+        rebalance(&node, &machine_client, active, &all_machines.machines).await;
+        if let Some(peaks) = &mut active.peaks {
+            peaks.record_changes(&node);
+        }
     }
 }
 
@@ -264,17 +300,16 @@
 
 /// Moves instances between pools as demand requires. Only instances on which nothing
 /// runs are moved.
-async fn rebalance(
-    node: &Arc<Node>,
-    machine_client: &Arc<MachineClient>,
-    planner: &mut Planner,
-    waves: &MaintenanceWaves,
-    all_machines: &[Machine],
-    session: &mut CoordinatorSession,
-) {
+async fn rebalance(node: &Arc<Node>, machine_client: &Arc<MachineClient>, active: &mut Active, all_machines: &[Machine]) {
+    let Active {
+        session,
+        waves,
+        planner,
+        peaks,
+    } = active;
     let now = clock::now().mono;
     let catalog = node.catalog();
-    let loads = node.lock_coordinator_state().loads.clone();
+    let reports = node.lock_coordinator_state().pool_reports.clone();
     let standby_pools: Vec<PoolId> = catalog
         .pools
         .iter()
@@ -283,11 +318,12 @@
         .collect();
     // Pools without a fresh report keep their instances.
     let has_fresh_report = |pool: &PoolId, at: Duration| catalog.pools.get(pool).is_some_and(|it| !it.standby) && now < at + MAX_REPORT_AGE;
-    let loads: BTreeMap<PoolId, PoolLoad> = loads
-        .into_iter()
-        .filter(|(pool, (_, at))| has_fresh_report(pool, *at))
-        .map(|(pool, (load, _))| (pool, load))
-        .collect();
+    let reports = reports.into_iter().filter(|(pool, it)| has_fresh_report(pool, it.at));
+    let (mut loads, mut owner_epochs) = (BTreeMap::new(), BTreeMap::new());
+    for (pool, report) in reports {
+        owner_epochs.insert(pool.clone(), report.owner_epoch);
+        loads.insert(pool, report.load);
+    }
     let workers = node.workers.load();
     let vacating: &HashSet<Arc<str>> = waves.vacating();
     let instance = |it: &Machine| {
@@ -304,6 +340,9 @@
     };
     let in_evacuated_zone = |it: &Instance| catalog.evacuated_zones.contains(&it.zone);
     let instances: Vec<Instance> = all_machines.iter().map(instance).filter(|it| !in_evacuated_zone(it)).collect();
+    if let Some(peaks) = peaks {
+        peaks.update(node, &mut loads, &owner_epochs, &instances);
+    }
     let moves = planner.plan(now, &loads, &standby_pools, &instances);
     if !moves.is_empty() {
         let demand: BTreeMap<&PoolId, (u64, u64, u64)> =
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! - `caller_api`: HTTP API for callers.
 //! - `peer`: calls between entry instances.
 //! - `coordinator`: divides teams' caps and moves instances between pools.
+//! - `peaks`: forecasts the demand peaks of pools for the coordinator.
 //! - `maintenance`: runs maintenance waves.
 //! - `decision_log`: structured log on standard output.
 //! - `metrics`: Prometheus metrics.
@@ -37,6 +38,7 @@
 mod metrics;
 mod node;
 mod owner;
+mod peaks;
 mod peer;
 mod request_log;
 mod server;
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -50,6 +50,12 @@
     pub(crate) worker_restarts: IntCounter,
     /// Times that an owner was found to be overloaded and lowered its limit on starts.
     pub(crate) overloads: IntCounter,
+    /// Events of the forecast of demand peaks, by kind.
+    pub(crate) peak_forecasts: IntCounterVec,
+    /// Records of demand patterns by outcome: `read`, `ignored`, `written`, `failed`.
+    pub(crate) peak_records: IntCounterVec,
+    /// Size of the records of demand patterns that were sent, bytes.
+    pub(crate) peak_record_bytes: IntCounter,
     /// Failed calls to the log service.
     pub(crate) log_errors: IntCounter,
     /// Number of partitions that this instance owns.
@@ -108,6 +114,12 @@
             records_skipped: counter("oriole_records_skipped_total", "Records of the log that an owner could not use"),
             worker_restarts: counter("oriole_worker_restarts_total", "Restarts of workers"),
             overloads: counter("oriole_owner_overloads_total", "Times an owner lowered its limit on starts"),
+            peak_forecasts: counter_vec("oriole_peak_forecasts_total", "Events of the forecast of demand peaks", &["kind"]),
+            peak_records: counter_vec("oriole_peak_records_total", "Records of demand patterns", &["outcome"]),
+            peak_record_bytes: counter(
+                "oriole_peak_record_bytes_total",
+                "Size of the records of demand patterns that were sent",
+            ),
             log_errors: counter("oriole_log_errors_total", "Failed calls to the log"),
             owned_partitions: gauge("oriole_partitions_owned", "Partitions owned"),
             connections_opened: gauge("oriole_connections_opened", "Connections opened since start"),
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -27,6 +27,11 @@
 /// Value of the setting for [`TokenForm::Contact`].
 const CONTACT_FORM: &str = "contact";
 
+/// Value of the setting that uses forecasts of demand peaks.
+const ON: &str = "on";
+/// Value of the setting that does not.
+const OFF: &str = "off";
+
 /// Accepted keys. Only those that operators set have a default, as the platform
 /// generates the file with every other key set.
 pub const SPECS: &[SettingSpec] = &[
@@ -110,6 +115,20 @@
         kind: ValueKind::Choice(&[CONTACT_FORM, EPOCH_FORM]),
         help: "form of the fencing tokens in orders to workers",
     },
+    SettingSpec {
+        section: "forecast",
+        key: "peaks",
+        default: Some(ON),
+        kind: ValueKind::Choice(&[ON, OFF]),
+        help: "whether pools get workers before an expected demand peak",
+    },
+    SettingSpec {
+        section: "forecast",
+        key: "move_ms",
+        default: Some("2000"),
+        kind: ValueKind::Number(100, 60_000),
+        help: "time from the order to move a worker to another pool until it takes tasks, milliseconds",
+    },
 ];
 
 /// Limits that the platform guarantees, from the `[bounds]` section. They are
@@ -162,6 +181,10 @@
     pub descriptors: usize,
     /// Form of the fencing tokens in orders to workers.
     pub token_form: TokenForm,
+    /// Whether pools get workers before an expected demand peak.
+    pub forecasts_peaks: bool,
+    /// Time from the order to move a worker to another pool until it takes tasks.
+    pub move_time: Duration,
 }
 
 impl Settings {
@@ -200,6 +223,8 @@
                 EPOCH_FORM => TokenForm::Epoch,
                 _ => TokenForm::Contact,
             },
+            forecasts_peaks: file.text("forecast", "peaks") == ON,
+            move_time: file.millis("forecast", "move_ms"),
         }
     }
 }
--- a/fleet/tests/test_group.rs
+++ b/fleet/tests/test_group.rs
@@ -141,6 +141,8 @@
         cpu_millis: 1000,
         descriptors: 4100,
         token_form: TokenForm::Contact,
+        forecasts_peaks: true,
+        move_time: Duration::from_secs(2),
     }
 }
 
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -14,7 +14,7 @@
 use crate::id::{InstanceId, PoolId, ZoneId};
 
 /// Minimum number of instances in a pool, so that some are left when a zone is lost.
-const MIN_POOL_SIZE: usize = 3;
+pub const MIN_POOL_SIZE: usize = 3;
 /// Capacity planned for arriving jobs, as a multiple of their estimated use.
 /// Estimates of run times are off by a tenth on average.
 const ARRIVAL_HEADROOM: f64 = 1.1;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -52,6 +52,9 @@
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
 //! - [`forecast`]: work that will arrive for a pool.
+//! - [`peak`]: detection of demand peaks of a pool.
+//! - [`demand_pattern`]: what is known of a pool's demand peaks.
+//! - [`peak_forecast`]: forecast of the demand peaks of all pools.
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`owner_shortage`]: when instances with little CPU own partitions.
 //! - [`reachability`]: whether the log answers an instance.
@@ -76,6 +79,7 @@
 mod config;
 mod contact;
 pub mod decision;
+pub mod demand_pattern;
 mod dispatch;
 pub mod entry;
 mod entry_event;
@@ -99,6 +103,8 @@
 pub mod order;
 pub mod order_history;
 pub mod owner_shortage;
+pub mod peak;
+pub mod peak_forecast;
 mod peer;
 mod placement;
 pub mod platform;
