coordinator: fill pools whose backlog can still be in time first

After a power-off several pools have a backlog at once. The coordinator gave instances to the pool with the most waiting work first, also where that work could no longer meet its objective, so the work of the others became late too.

Owners report how much of their waiting work misses its objective even if it is placed now, in a call of its own while there is any: with another field in the usage report, an earlier build as coordinator could not read it (rmp-serde: LengthMismatch). The planner fills the pool with the most other waiting work first.

With the order before, the new test of the planner moves all three instances to the pool with 16 of 20 cores of late work; now they go to the other one.

--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -51,6 +51,9 @@
     allocator: Option<(u64, QuotaAllocator)>,
     /// Last report of each pool.
     pool_reports: BTreeMap<PoolId, PoolReport>,
+    /// Waiting work of each pool that can no longer meet its objective, millicores, with the
+    /// monotonic time at which it was reported.
+    late_work: BTreeMap<PoolId, (u64, Duration)>,
 }
 
 /// What the owner of a pool has reported of it.
@@ -96,6 +99,19 @@
     Reply::Grants(allocator.handle_report(now, &catalog, &parts, report))
 }
 
+/// Processes a partition owner's report on waiting work that can no longer meet its objective.
+pub(crate) fn handle_late_work(node: &Node, loads: BTreeMap<PoolId, u64>) -> Reply {
+    if node.owned_partition(COORDINATOR_PART).is_none() {
+        return Reply::NotOwner;
+    }
+    let now = clock::now().mono;
+    let catalog = node.catalog();
+    let mut state = node.lock_coordinator_state();
+    let known = loads.into_iter().filter(|(pool, _)| catalog.pools.contains_key(pool));
+    state.late_work.extend(known.map(|(pool, cpu)| (pool, (cpu, now))));
+    Reply::Done
+}
+
 /// Session of the fleet coordinator under one epoch, in which it may send orders to
 /// instances.
 ///
@@ -309,7 +325,10 @@
     } = active;
     let now = clock::now().mono;
     let catalog = node.catalog();
-    let reports = node.lock_coordinator_state().pool_reports.clone();
+    let (reports, late_work) = {
+        let state = node.lock_coordinator_state();
+        (state.pool_reports.clone(), state.late_work.clone())
+    };
     let standby_pools: Vec<PoolId> = catalog
         .pools
         .iter()
@@ -321,8 +340,11 @@
     let reports = reports.into_iter().filter(|(pool, it)| has_fresh_report(pool, it.at));
     let (mut loads, mut owner_epochs) = (BTreeMap::new(), BTreeMap::new());
     for (pool, report) in reports {
+        let fresh_late_work = late_work.get(&pool).filter(|(_, at)| now < *at + MAX_REPORT_AGE);
+        let mut load = report.load;
+        load.late = fresh_late_work.map_or(0, |(cpu, _)| load.waiting.min(*cpu));
         owner_epochs.insert(pool.clone(), report.owner_epoch);
-        loads.insert(pool, report.load);
+        loads.insert(pool, load);
     }
     let workers = node.workers.load();
     let vacating: &HashSet<Arc<str>> = waves.vacating();
@@ -347,9 +369,14 @@
     if !moves.is_empty() {
         let demand: BTreeMap<&PoolId, (u64, u64, u64)> =
             loads.iter().map(|(pool, it)| (pool, (it.used, it.waiting, it.arriving))).collect();
+        let late: BTreeMap<&PoolId, u64> = loads
+            .iter()
+            .filter(|(_, it)| 0 < it.late)
+            .map(|(pool, it)| (pool, it.late))
+            .collect();
         node.decision_log.write(
             "balance",
-            json!({ "pools": planner.pool_balances(), "used_waiting_arriving": demand, "moves": moves.len() }),
+            json!({ "pools": planner.pool_balances(), "used_waiting_arriving": demand, "late": late, "moves": moves.len() }),
         );
     }
     moves.iter().for_each(|planned_move| planner.move_ordered(now, planned_move));
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -42,6 +42,8 @@
 const MAX_REQUESTS_AGE: Duration = Duration::from_millis(4500);
 /// Time between two usage reports to the fleet coordinator.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between two reports to the coordinator on work that is late; it disregards them after 1 s.
+const LATE_WORK_INTERVAL: Duration = Duration::from_millis(450);
 /// Time limit of a call for advice. The service handles one call at a time, and
 /// takes longer the more workers it is asked about.
 pub(crate) const ADVICE_TIMEOUT: Duration = Duration::from_millis(3500);
@@ -132,6 +134,7 @@
     /// Monotonic time at which the report was sent that `grants` answers.
     pub(crate) grants_as_of: Duration,
     pub(crate) last_report_at: Duration,
+    pub(crate) last_late_work_at: Duration,
     /// Open calls and the readers of requests and changes. All are aborted when the
     /// owner ends.
     pub(crate) background_tasks: JoinSet<()>,
@@ -174,6 +177,7 @@
         grants: HashMap::new(),
         grants_as_of: Duration::ZERO,
         last_report_at: Duration::ZERO,
+        last_late_work_at: Duration::ZERO,
         background_tasks: JoinSet::new(),
         node: node.clone(),
     };
@@ -427,6 +431,24 @@
                 let _ = events.send(Event::GrantsReceived(now, grants));
             }
         });
+        self.report_late_work(now);
+    }
+
+    /// Reports waiting work that can no longer meet its objective, if there is any.
+    fn report_late_work(&mut self, now: Duration) {
+        if now < self.last_late_work_at + LATE_WORK_INTERVAL {
+            return;
+        }
+        self.last_late_work_at = now;
+        let loads = self.scheduler.late_work(clock::now());
+        if loads.is_empty() {
+            return;
+        }
+        let node = self.node.clone();
+        self.background_tasks.spawn(async move {
+            // The next report follows soon.
+            let _ = peer::call(&node, coordinator::COORDINATOR_PART, Call::LateWork { loads }).await;
+        });
     }
 }
 
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -80,6 +80,7 @@
         Call::AppendRecords { part, records } => request_log::handle_call(node, part, records).await,
         Call::Leave { member } => group::leave_for(node, &member).await,
         Call::Report(report) => coordinator::handle_report(node, report),
+        Call::LateWork { loads } => coordinator::handle_late_work(node, loads),
     }
 }
 
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -42,6 +42,10 @@
     pub breadth: usize,
     /// Workers without runs that could take some.
     pub idle: Vec<InstanceId>,
+    /// Part of `waiting` whose jobs can no longer meet their objective, millicores. It is not
+    /// part of a report, as instances of earlier builds refuse one with more fields.
+    #[serde(skip)]
+    pub late: u64,
 }
 
 /// An instance as listed by the platform, with what the planner has to know about it.
@@ -205,7 +209,8 @@
     }
 
     /// Fills up pools that have too few instances, first from standby pools, then with idle
-    /// instances of other pools. The pool with the most waiting tasks is served first.
+    /// instances of other pools. The pool with the most waiting tasks that can still be in time is
+    /// served first, then the one with the most waiting tasks.
     fn fill_shortages(
         &self,
         loads: &BTreeMap<PoolId, PoolLoad>,
@@ -218,7 +223,8 @@
             .filter(|(_, it)| it.have < it.wanted)
             .map(|(name, _)| name.clone())
             .collect();
-        short.sort_by_key(|name| std::cmp::Reverse(loads[name].waiting));
+        let in_time = |it: &PoolLoad| it.waiting.saturating_sub(it.late);
+        short.sort_by_key(|name| std::cmp::Reverse((in_time(&loads[name]), loads[name].waiting)));
         for name in short {
             while pools[&name].have < pools[&name].wanted {
                 let fits = |it: &Instance| !self.refused.contains_key(&(it.name.clone(), name.clone()));
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -52,6 +52,7 @@
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
 //! - [`forecast`]: work that will arrive for a pool.
+//! - `late_work`: waiting work that can no longer meet its objective.
 //! - [`peak`]: detection of demand peaks of a pool.
 //! - [`demand_pattern`]: what is known of a pool's demand peaks.
 //! - [`peak_forecast`]: forecast of the demand peaks of all pools.
@@ -95,6 +96,7 @@
 pub mod job;
 pub mod job_record;
 pub mod key;
+mod late_work;
 pub mod ledger;
 pub mod log_sync;
 pub mod maintain;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -332,7 +332,7 @@
 
 /// Returns the estimated time until a job ends if all its tasks had room at once, milliseconds.
 /// Only the first occurrence is counted.
-fn remaining_ms(record: &JobRecord) -> u64 {
+pub(crate) fn remaining_ms(record: &JobRecord) -> u64 {
     let spec = record.spec();
     let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for (index, step) in spec.steps.iter().enumerate() {
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -78,6 +78,12 @@
     },
     /// Reports an owner's usage to the coordinator, which answers with its grants.
     Report(UsageReport),
+    /// Tells the coordinator how much waiting work can no longer meet its objective. Earlier builds
+    /// do not know this call and refuse it, which does no harm.
+    LateWork {
+        /// CPU of that work by pool, millicores.
+        loads: BTreeMap<PoolId, u64>,
+    },
 }
 
 /// Usage and demand of the owner of a partition, from which teams' caps are divided.
--- a/lib/tests/test_balance.rs
+++ b/lib/tests/test_balance.rs
@@ -26,6 +26,7 @@
         arriving,
         breadth: 0,
         idle: idle.iter().map(|it| InstanceId::from(format!("w{it}"))).collect(),
+        late: 0,
     }
 }
 
@@ -127,3 +128,33 @@
     planner.move_withdrawn(&moves[0]);
     assert_eq!(planner.plan(at(400), &loads, &[Arc::from("standby")], &instances), moves);
 }
+
+#[test]
+fn a_backlog_that_can_be_in_time_is_served_before_a_larger_late_one() {
+    // After a power-off the pool with the largest backlog got all instances, although most of it was
+    // late already, and the work of the others became late as well.
+    let mut instances: Vec<Instance> = (0..3).map(|it| instance(it, "late")).collect();
+    instances.extend((3..6).map(|it| instance(it, "urgent")));
+    instances.extend((6..9).map(|it| instance(it, "standby")));
+    let mut late = load(3000, 20_000, 0, &[]);
+    let urgent = load(3000, 5000, 0, &[]);
+    for (late_cpu, served) in [(0, "late"), (16_000, "urgent"), (20_000, "urgent")] {
+        late.late = late_cpu;
+        let loads = BTreeMap::from([(PoolId::from("late"), late.clone()), (PoolId::from("urgent"), urgent.clone())]);
+        let moves = Planner::default().plan(at(0), &loads, &[Arc::from("standby")], &instances);
+        assert_eq!(moves.len(), 3);
+        assert!(moves.iter().all(|it| &*it.to == served), "{late_cpu}: {moves:?}");
+    }
+}
+
+#[test]
+fn a_report_is_readable_for_earlier_builds() {
+    // MessagePack arrays with more elements than a struct has fields are an error, so with another
+    // field an earlier build as coordinator would grant no caps.
+    type EarlierPoolLoad = (u64, u64, u64, usize, Vec<InstanceId>);
+    let mut load = load(1, 2, 3, &[4]);
+    load.late = 2;
+    let bytes = rmp_serde::to_vec(&load).unwrap();
+    let earlier: EarlierPoolLoad = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(earlier, (1, 2, 3, 0, vec![InstanceId::from("w4")]));
+}
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -327,3 +327,16 @@
     fixture.advance_ms(100);
     assert_eq!(fixture.starts.len(), 2, "the worker answers again");
 }
+
+#[test]
+fn waiting_work_is_late_once_its_objective_cannot_be_met() {
+    // The objective is 1.5 times the second that the tasks take, and 600 ms: from 1,100 ms on a job
+    // that has not started misses it.
+    let mut fixture = OwnerFixture::new(vec![]);
+    fixture.add_request("job", submit("", vec![step(3, 1000)]));
+    fixture.advance_ms(1000);
+    assert!(fixture.owner.late_work(fixture.now).is_empty());
+    fixture.advance_ms(200);
+    let late = fixture.owner.late_work(fixture.now);
+    assert_eq!(late.into_iter().collect::<Vec<_>>(), [(Arc::from("pool"), 3000)]);
+}
