--- a/lib/tests/test_peak_forecast.rs
+++ b/lib/tests/test_peak_forecast.rs
@@ -267,10 +267,10 @@
 
 #[test]
 fn a_burst_changes_neither_the_times_nor_the_heights_of_a_forecast() {
-    // Pool a has a burst of twice its height between two peaks, and later a peak of twice the height.
+    // A team sends pool a five times its height between two peaks, and later in a peak.
     let demand = |pool: usize, ms: u64| match (pool, ms) {
-        (0, 84_000..88_000) => 2.0,
-        (0, 98_000..104_000) => 2.0 * periodic(24_000)(pool, ms),
+        (0, 84_000..88_000) => 5.0,
+        (0, 98_000..104_000) => 5.0 * periodic(24_000)(pool, ms),
         _ => periodic(24_000)(pool, ms),
     };
     for seed in 0..5 {
@@ -289,6 +289,26 @@
     }
 }
 
+#[test]
+fn a_queue_that_moves_to_another_pool_leaves_the_forecasts_of_the_others_right() {
+    // The peaks of pool a come in pool c, between its own, from 96 s on.
+    let demand = |pool: usize, ms: u64| match pool {
+        0 if 96_000 <= ms => 0.01,
+        2 if 96_000 <= ms => periodic(24_000)(0, ms) + periodic(24_000)(2, ms),
+        _ => periodic(24_000)(pool, ms),
+    };
+    for seed in 0..5 {
+        let mut replay = Replay::new(seed);
+        replay.run(200_000, demand);
+        let wasted = replay.wasted(0, 90_000, &BTreeSet::new());
+        assert!(wasted <= 1, "seed {seed}: {wasted} forecasts without a peak");
+        for (pool, peak) in [1, 2, 3].into_iter().flat_map(|pool| (2..7).map(move |peak| (pool, peak))) {
+            let start = starts(pool, 24_000)(peak);
+            assert!(replay.is_ahead(pool, start), "seed {seed}, pool {pool}, peak {peak}");
+        }
+    }
+}
+
 #[test]
 fn a_forecast_survives_a_power_off_at_any_time() {
     for seed in 0..3 {
