--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -87,6 +87,7 @@
         Call::AppendPace { part } => Reply::Pace(request_log::report(node, part)),
         Call::Leave { member } => group::leave_for(node, &member).await,
         Call::Report(report) => coordinator::handle_report(node, report),
+        Call::LateWork { loads } => coordinator::handle_late_work(node, loads),
     }
 }
 
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -94,6 +94,12 @@
         /// The partition.
         part: PartitionId,
     },
+    /// Tells the coordinator how much waiting work can no longer meet its objective. Earlier builds
+    /// do not know this call and refuse it, which does no harm.
+    LateWork {
+        /// CPU of that work by pool, millicores.
+        loads: BTreeMap<PoolId, u64>,
+    },
 }
 
 /// What an appender reports of its appends to a partition.
