peak_forecast: only peaks of a twentieth of the fleet are forecast

On a deployment no peak was expected. Cause: the noise of quiet pools, single jobs of 100 to 200 cores where the peaks have 3,276, was learned as peaks from a minimum of three instances on, so real peaks counted as wrong. Change: the least height is a twentieth of the CPU of all instances. The new test fails before (96,000 millicores).

--- a/fleet/src/peaks.rs
+++ b/fleet/src/peaks.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use oriole_platform::log::{COORDINATOR, Entry, ReadResult};
-use oriolewall::balance::{Instance, MIN_POOL_SIZE, PoolLoad};
+use oriolewall::balance::{Instance, PoolLoad};
 use oriolewall::demand_pattern::Pattern;
 use oriolewall::id::PoolId;
 use oriolewall::peak::Sample;
@@ -79,11 +79,7 @@
             owner_epoch: owner_epochs.get(pool).copied().unwrap_or(0),
         };
         let samples = loads.iter().map(|(pool, it)| (pool.clone(), sample(pool, it))).collect();
-        let largest = instances.iter().map(|it| it.cpu).max().unwrap_or(0);
-        let bounds = HeightBounds {
-            min: largest.saturating_mul(MIN_POOL_SIZE as u64),
-            max: instances.iter().map(|it| it.cpu).fold(0, u64::saturating_add),
-        };
+        let bounds = HeightBounds::of(instances.iter().map(|it| it.cpu));
         self.forecaster.observe(now, &samples, bounds);
         self.forecaster.raise(now, loads);
         for event in self.forecaster.take_events() {
--- a/lib/src/peak_forecast.rs
+++ b/lib/src/peak_forecast.rs
@@ -15,7 +15,7 @@
 
 use serde::Serialize;
 
-use crate::balance::PoolLoad;
+use crate::balance::{MIN_POOL_SIZE, PoolLoad};
 use crate::demand_pattern::{Interval, Pattern};
 use crate::id::PoolId;
 use crate::peak::{Change, Detector, Peak, Sample, WallMillis};
@@ -36,15 +36,36 @@
 /// Time without a peak after which a height from which none is expected counts half.
 const HEIGHT_HALF_LIFE: Duration = Duration::from_secs(60);
 
+/// Part of the CPU of all instances below which a peak is not forecast. Single large jobs raise the
+/// average of a quiet pool by 2% of the fleet; learned as peaks, they hide the real ones.
+const MIN_FLEET_FRACTION: u64 = 20;
+
 /// Heights of peaks that matter.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HeightBounds {
-    /// CPU that every pool has anyway, millicores.
+    /// Height below which the rule without a forecast serves a peak, millicores.
     pub min: u64,
     /// CPU of all instances, millicores.
     pub max: u64,
 }
 
+impl HeightBounds {
+    /// Bounds for the instances with these amounts of CPU, millicores.
+    pub fn of<I>(instances: I) -> HeightBounds
+    where
+        I: IntoIterator<Item = u64>,
+    {
+        let (largest, total) = instances
+            .into_iter()
+            .fold((0_u64, 0_u64), |(largest, total), it| (largest.max(it), total.saturating_add(it)));
+        HeightBounds {
+            // Every pool has its minimum size anyway.
+            min: largest.saturating_mul(MIN_POOL_SIZE as u64).max(total / MIN_FLEET_FRACTION),
+            max: total,
+        }
+    }
+}
+
 /// Something that the forecaster learned or decided, for the decision log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Event {
--- a/lib/tests/test_peak_forecast.rs
+++ b/lib/tests/test_peak_forecast.rs
@@ -449,3 +449,14 @@
             }
         });
 }
+
+#[test]
+fn single_jobs_in_a_quiet_pool_are_no_peaks() {
+    // Replays clauseforge-mu-grown, trouble-1: jobs of 100 to 200 cores in quiet pools of a fleet of
+    // 11,200 cores were learned as peaks, and the real ones of 3,276 cores as wrong forecasts.
+    let bounds = HeightBounds::of(std::iter::repeat_n(32_000, 350));
+    assert!(193_130 < bounds.min && bounds.min < 3_276_297, "{bounds:?}");
+    assert_eq!(bounds.max, 11_200_000);
+    // In a small fleet the minimum size of a pool counts.
+    assert_eq!(HeightBounds::of([32_000; 10]).min, 96_000);
+}
