peak_forecast: pools with another period than the others

A pool whose peaks are further apart than those of the others had no forecast for good. Its peak was expected after the period of the others, or each time after the pool before it; each such miss counted, and after three the pattern was given up before the second peak came.

A guess from other pools that is wrong is now not repeated and does not count. A gap to another pool that did not hold is forgotten, and is used only for about the time that the pool's own period expects, once that is known. The events of the forecast are in a module of their own.

The new test (periods of 100 and 110 s beside 20 s) failed before at the fourth peak of the pool with 110 s, and passes.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -56,6 +56,7 @@
 //! - [`peak`]: detection of demand peaks of a pool.
 //! - [`demand_pattern`]: what is known of a pool's demand peaks.
 //! - [`peak_forecast`]: forecast of the demand peaks of all pools.
+//! - [`peak_event`]: events of that forecast.
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`owner_shortage`]: when instances with little CPU own partitions.
 //! - [`reachability`]: whether the log answers an instance.
@@ -106,6 +107,7 @@
 pub mod order_history;
 pub mod owner_shortage;
 pub mod peak;
+pub mod peak_event;
 pub mod peak_forecast;
 mod peer;
 mod placement;
--- a/lib/src/peak_forecast.rs
+++ b/lib/src/peak_forecast.rs
@@ -13,12 +13,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Serialize;
-
 use crate::balance::PoolLoad;
 use crate::demand_pattern::{Interval, Pattern};
 use crate::id::PoolId;
 use crate::peak::{Change, Detector, Peak, Sample, WallMillis};
+use crate::peak_event::{Event, EventKind};
 
 /// Time after a coordinator with records has started in which arrivals may be missing: after a
 /// power-off callers, instances and owners return one after another.
@@ -45,73 +44,24 @@
     pub max: u64,
 }
 
-/// Something that the forecaster learned or decided, for the decision log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct Event {
-    /// The pool.
-    pub pool: PoolId,
-    /// What happened.
-    pub kind: EventKind,
-    /// When the peak started.
-    pub start_ms: Option<WallMillis>,
-    /// When it was expected to start.
-    pub expected_ms: Option<WallMillis>,
-    /// Height that is expected of the next peak, millicores.
-    pub height: u64,
-}
-
-/// Kind of an [`Event`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum EventKind {
-    /// A peak started when it was expected.
-    Right,
-    /// A peak started at another time than expected, while forecasts were not used.
-    Wrong,
-    /// A peak started before the expected one, which still counts.
-    Unexpected,
-    /// The expected peak has not come.
-    Missed,
-    /// A peak was much lower than expected.
-    Lower,
-    /// Whether the expected peak came is not known, as arrivals may be missing.
-    Unseen,
-    /// A pool was found in the peak that was expected.
-    Resumed,
-    /// A peak has ended, and its height and length are learned.
-    Learned,
-    /// The pattern is given up.
-    GivenUp,
-    /// The demand is raised for the expected peak.
-    Used,
-}
-
-impl EventKind {
-    /// Name of the kind in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            EventKind::Right => "right",
-            EventKind::Wrong => "wrong",
-            EventKind::Unexpected => "unexpected",
-            EventKind::Missed => "missed",
-            EventKind::Lower => "lower",
-            EventKind::Unseen => "unseen",
-            EventKind::Resumed => "resumed",
-            EventKind::Learned => "learned",
-            EventKind::GivenUp => "given_up",
-            EventKind::Used => "used",
-        }
-    }
-}
-
 /// When the next peak of a pool is expected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Expectation {
     at: WallMillis,
     error_ms: u64,
-    /// Whether it is derived from other pools, as the pool's own intervals are not known. Such a
+    basis: Basis,
+}
+
+/// What an [`Expectation`] is derived from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Basis {
+    /// The time between the pool's own peaks.
+    Period,
+    /// The time since the peak of the pool before it.
+    Previous,
+    /// The time between the peaks of another pool, as its own intervals are not known. Such a
     /// forecast is judged but not used.
-    is_guess: bool,
+    Guess,
 }
 
 /// A peak that has not ended and belongs to the pattern.
@@ -134,6 +84,8 @@
     unexpected: Option<WallMillis>,
     /// Number of successive expected peaks of which it is not known whether they came.
     unseen: u32,
+    /// Whether a guess was wrong: the pool's peaks differ from those of other pools.
+    rejects_guesses: bool,
     /// Whether the pattern differs from the recorded one.
     is_changed: bool,
     /// Whether the demand is raised at present.
@@ -239,7 +191,7 @@
             // Once the peak has risen, the reports tell its height.
             (Some(it), _) if is_incomplete => (it.start, end(it.start)),
             (Some(it), _) => (it.start, it.start + pattern.rise_ms + lag_ms),
-            (None, Some(it)) if !it.is_guess => {
+            (None, Some(it)) if it.basis != Basis::Guess => {
                 let tolerance = (2 * it.error_ms + lag_ms).min(self.move_ms);
                 let latest = it.at + tolerance;
                 let until = if is_incomplete { latest.max(end(it.at)) } else { latest };
@@ -298,29 +250,42 @@
 
     /// Returns when the next peak of a pool is expected, by the interval with the least error.
     fn expect(&self, pool: &PoolId) -> Option<Expectation> {
-        let Track { pattern, pending, .. } = self.tracks.get(pool)?;
+        let track = self.tracks.get(pool)?;
+        let Track { pattern, pending, .. } = track;
         if pending.is_some() {
             return *pending;
         }
         if pattern.heights.is_empty() || pattern.phase == 0 {
             return None;
         }
-        let after = |start: WallMillis, interval: &Interval, is_guess: bool| Expectation {
+        let after = |start: WallMillis, interval: &Interval, basis: Basis| Expectation {
             at: start + interval.mean_ms,
             // An interval that was seen once has no error yet.
             error_ms: if interval.count == 1 { self.move_ms / 2 } else { interval.error_ms },
-            is_guess,
+            basis,
         };
-        let by_period = pattern.period.as_ref().map(|it| after(pattern.phase, it, false));
+        let period = pattern.period.as_ref();
+        let by_period = period.map(|it| after(pattern.phase, it, Basis::Period));
         let by_previous = pattern.follows.as_ref().and_then(|(previous, gap)| {
             // A peak that has not come is not followed by another one.
             let previous = Some(&self.tracks.get(previous)?.pattern).filter(|it| it.missed == 0)?;
-            (pattern.phase < previous.phase).then(|| after(previous.phase, gap, false))
+            (pattern.phase < previous.phase).then(|| after(previous.phase, gap, Basis::Previous))
         });
-        let known = by_previous.into_iter().chain(by_period).min_by_key(|it| it.error_ms);
-        known.or_else(|| {
-            let periods = self.tracks.values().filter_map(|it| it.pattern.period.as_ref());
-            periods.min_by_key(|it| it.error_ms).map(|it| after(pattern.phase, it, true))
+        // The other pool may have several peaks in the period of this one.
+        let is_same_peak = |it: &Expectation| by_period.is_none_or(|own| it.at.abs_diff(own.at) <= self.move_ms);
+        let by_previous = by_previous.filter(|it| period.is_none_or(|it| it.count == 1) || is_same_peak(it));
+        let known = by_period.into_iter().chain(by_previous).min_by_key(|it| it.error_ms);
+        known.or_else(|| self.guess(pool).filter(|_| !track.rejects_guesses))
+    }
+
+    /// Returns when the next peak of a pool is expected if it has the period of other pools.
+    fn guess(&self, pool: &PoolId) -> Option<Expectation> {
+        let phase = self.tracks.get(pool)?.pattern.phase;
+        let periods = self.tracks.values().filter_map(|it| it.pattern.period.as_ref());
+        periods.min_by_key(|it| it.error_ms).map(|it| Expectation {
+            at: phase + it.mean_ms,
+            error_ms: self.move_ms / 2,
+            basis: Basis::Guess,
         })
     }
 
@@ -365,7 +330,7 @@
             track.unexpected = Some(at);
             self.push_event(pool, EventKind::Unexpected, Some(at), Some(it.at));
         } else {
-            if !it.is_guess {
+            if it.basis != Basis::Guess {
                 track.pattern.was_right = Some(false);
             }
             self.push_event(pool, EventKind::Wrong, Some(at), Some(it.at));
@@ -430,6 +395,14 @@
         let Some(track) = self.tracks.get_mut(pool) else {
             return;
         };
+        if it.basis == Basis::Guess {
+            // What holds for other pools says nothing of the pattern of this one.
+            if it.at + move_ms < now {
+                track.rejects_guesses = true;
+                self.push_event(pool, EventKind::Missed, None, Some(it.at));
+            }
+            return;
+        }
         let is_seen = !track.detector.is_incomplete(now) && track.detector.complete_since() + move_ms <= it.at;
         let wait_ms = if is_seen { move_ms } else { move_ms.max(track.pattern.length_ms) };
         if now <= it.at + wait_ms {
@@ -446,12 +419,17 @@
             }
             return;
         }
+        track.pattern.was_right = Some(false);
+        if it.basis == Basis::Previous {
+            // The pool may still have its own period, which is judged and recorded soon.
+            track.is_changed |= track.pattern.period.is_none();
+            track.pattern.follows = None;
+            self.push_event(pool, EventKind::Missed, None, Some(it.at));
+            return;
+        }
+        track.is_changed = true;
         track.pattern.phase = it.at;
         track.pattern.missed += 1;
-        if !it.is_guess {
-            track.pattern.was_right = Some(false);
-            track.is_changed = true;
-        }
         let is_lost = MAX_MISSED <= track.pattern.missed;
         let unexpected = track.unexpected.take();
         self.push_event(pool, EventKind::Missed, None, Some(it.at));
@@ -476,6 +454,7 @@
             track.pending = None;
             track.unexpected = None;
             track.unseen = 0;
+            track.rejects_guesses = false;
             track.is_changed = true;
         }
     }
--- a/lib/tests/test_peak_forecast.rs
+++ b/lib/tests/test_peak_forecast.rs
@@ -8,7 +8,8 @@
 use oriolewall::forecast::Forecast;
 use oriolewall::id::PoolId;
 use oriolewall::peak::Sample;
-use oriolewall::peak_forecast::{EventKind, Forecaster, HeightBounds};
+use oriolewall::peak_event::EventKind;
+use oriolewall::peak_forecast::{Forecaster, HeightBounds};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -309,6 +310,26 @@
     }
 }
 
+#[test]
+fn a_pool_with_another_period_than_the_others_is_forecast_by_its_own() {
+    // Each missed peak of the other period counted, and the pattern was given up before its second peak.
+    for (seed, long_period_ms) in (0..3).flat_map(|seed| [(seed, 100_000), (seed, 110_000)]) {
+        let periods = [20_000, 20_000, 20_000, long_period_ms];
+        let demand = |pool: usize, ms: u64| periodic(periods[pool])(pool, ms);
+        let mut replay = Replay::new(seed);
+        replay.run(650_000, demand);
+        for (pool, period_ms) in periods.into_iter().enumerate() {
+            for peak in 3..5 {
+                let start = starts(pool, period_ms)(peak);
+                assert!(
+                    replay.is_ahead(pool, start),
+                    "seed {seed}, pool {pool}, peak {peak} of {period_ms} ms"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn a_forecast_survives_a_power_off_at_any_time() {
     for seed in 0..3 {
