placement: learn run times and worker speeds

What callers saw: jobs were planned by submitted run times that are off by a fifth to nine tenths, and a worker that was slow or made no progress got as much work as the others, so each job with a task there was late.

Cause: the owner used nothing of what workers report about the time that tasks take. A worker was avoided only after three failures in a row, or for 4 s after a stalled run while others had room.

A worker that is slow compared with similar ones gets work last. A decision log line and a counter tell which placements changed. `[placement] learned = off` turns it off.

The effect on a deployment is not measured.

--- a/fleet/src/actions.rs
+++ b/fleet/src/actions.rs
@@ -133,6 +133,11 @@
             Decision::Contact { .. } => "contact",
             Decision::Numbered { .. } => "numbered",
             Decision::Suspect { .. } => "suspect",
+            Decision::Slow { .. } => "slow",
+            Decision::Preferred { why, .. } => {
+                self.node.metrics.preferences.with_label_values(&[why]).inc();
+                "preferred"
+            }
             Decision::Silent { .. } => "silent",
             Decision::Overloaded { .. } => {
                 self.node.metrics.overloads.inc();
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) inquiries: IntCounterVec,
     /// Ended runs by outcome.
     pub(crate) run_ends: IntCounterVec,
+    /// Placements on another worker than the first with room, by what was learned of that one.
+    pub(crate) preferences: IntCounterVec,
     /// Runs that workers list and the owner did not expect there.
     pub(crate) unexpected_runs: IntCounter,
     /// Records of the log that an owner could not use.
@@ -101,6 +103,11 @@
                 &["answer"],
             ),
             run_ends: counter_vec("oriole_run_ends_total", "Ends of runs", &["how"]),
+            preferences: counter_vec(
+                "oriole_placement_preferences_total",
+                "Placements that something learned has changed",
+                &["why"],
+            ),
             unexpected_runs: counter(
                 "oriole_unexpected_runs_total",
                 "Runs that workers list and the owner did not expect",
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -110,6 +110,13 @@
         kind: ValueKind::Choice(&[CONTACT_FORM, EPOCH_FORM]),
         help: "form of the fencing tokens in orders to workers",
     },
+    SettingSpec {
+        section: "placement",
+        key: "learned",
+        default: Some("on"),
+        kind: ValueKind::Choice(&["on", "off"]),
+        help: "whether run times, worker speeds and interference are learned and used",
+    },
 ];
 
 /// Limits that the platform guarantees, from the `[bounds]` section. They are
@@ -162,6 +169,8 @@
     pub descriptors: usize,
     /// Form of the fencing tokens in orders to workers.
     pub token_form: TokenForm,
+    /// Whether owners learn from runs and place tasks by it.
+    pub learns: bool,
 }
 
 impl Settings {
@@ -200,6 +209,7 @@
                 EPOCH_FORM => TokenForm::Epoch,
                 _ => TokenForm::Contact,
             },
+            learns: file.text("placement", "learned") == "on",
         }
     }
 }
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -69,7 +69,9 @@
     };
     // An earlier owner may have answered other owners by a later configuration.
     let (catalog, job_records) = tokio::join!(read_latest_catalog(node, part, epoch), read_newest_with_retry(node, jobs, epoch));
-    let mut scheduler = Scheduler::new(limits, now, confirmed_at).with_token_form(node.settings.token_form);
+    let mut scheduler = Scheduler::new(limits, now, confirmed_at)
+        .with_token_form(node.settings.token_form)
+        .with_learning(node.settings.learns);
     // Requests of queues that have moved to another pool are handed on.
     scheduler.set_catalog(catalog?);
     for entry in job_records?.entries {
--- a/fleet/tests/test_odd_entries.rs
+++ b/fleet/tests/test_odd_entries.rs
@@ -144,6 +144,7 @@
         cpu_millis: 1000,
         descriptors: 4100,
         token_form: TokenForm::Contact,
+        learns: true,
     }
 }
 
--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -5,7 +5,7 @@
 //! of the owner's processor time then; here the fullest worker with enough room is found
 //! first.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use crate::id::{InstanceId, PoolId};
@@ -15,21 +15,41 @@
 #[derive(Debug, Default)]
 pub(crate) struct Candidates {
     by_pool: HashMap<PoolId, BTreeSet<(u64, InstanceId)>>,
+    /// Pools of which no worker is left out although the tasks of some made no progress.
+    without_pauses: HashSet<PoolId>,
 }
 
 impl Candidates {
-    /// Collects the workers that accept work now.
+    /// Collects the workers that accept work now, without those that pause. If over half of a
+    /// pool's workers do, the cause is not the workers, and none is left out.
     pub(crate) fn collect<'a, I>(now: Duration, workers: I) -> Candidates
     where
         I: IntoIterator<Item = &'a Worker>,
     {
         let mut candidates = Candidates::default();
+        let mut paused: HashMap<&PoolId, Vec<&Worker>> = HashMap::new();
         for worker in workers.into_iter().filter(|it| it.accepts_work(now)) {
-            candidates.insert(worker);
+            match worker.is_paused(now) {
+                true => paused.entry(&worker.listed.pool).or_default().push(worker),
+                false => candidates.insert(worker),
+            }
+        }
+        for (pool, workers) in paused {
+            if candidates.by_pool.get(pool).map_or(0, BTreeSet::len) < workers.len() {
+                candidates.without_pauses.insert(pool.clone());
+                workers.into_iter().for_each(|it| candidates.insert(it));
+            }
         }
         candidates
     }
 
+    /// Adds a worker again that has got a task, unless it now pauses until that makes progress.
+    pub(crate) fn insert_again(&mut self, now: Duration, worker: &Worker) {
+        if self.without_pauses.contains(&worker.listed.pool) || !worker.is_paused(now) {
+            self.insert(worker);
+        }
+    }
+
     /// Adds a worker with its present free CPU.
     pub(crate) fn insert(&mut self, worker: &Worker) {
         let pool = self.by_pool.entry(worker.listed.pool.clone()).or_default();
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -168,6 +168,26 @@
         /// Time after which all of them have ended, milliseconds.
         left_ms: u64,
     },
+    /// Tasks take longer on a worker than on similar ones: it gets work last.
+    Slow {
+        /// Worker that is slow.
+        worker: InstanceId,
+        /// Least run time on the worker, percent of that on similar ones.
+        percent: u32,
+    },
+    /// A task was placed on another worker than the first with room, for what was learned.
+    Preferred {
+        /// Key of the job.
+        job: JobKey,
+        /// Task as occurrence, step and index within the step.
+        task: (u32, u16, u32),
+        /// Worker that the task was placed on.
+        worker: InstanceId,
+        /// Worker that it would have been placed on.
+        instead_of: InstanceId,
+        /// What was learned of that worker.
+        why: &'static str,
+    },
     /// A worker is quarantined because its runs fail or make no progress: for a while, it gets
     /// tasks only if no other worker can run them.
     Suspect {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -58,6 +58,8 @@
 //! - [`time_limits`]: time limits of an owner's leases and ownership.
 //! - [`tenure`]: whether another owner may have held a partition meanwhile.
 //! - [`order_history`]: recent orders of fleet coordinators to instances.
+//! - [`run_time`]: run times of similar tasks.
+//! - [`worker_speed`]: speed and progress of a worker.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
 //! - [`rpc`]: calls between entry instances that own partitions of the log.
@@ -91,6 +93,7 @@
 pub mod job;
 pub mod job_record;
 pub mod key;
+mod learning;
 pub mod ledger;
 pub mod log_sync;
 pub mod maintain;
@@ -118,6 +121,7 @@
 pub mod resources;
 pub mod rpc;
 mod run_end;
+pub mod run_time;
 mod running_task;
 pub mod scheduler;
 pub mod setting;
@@ -135,3 +139,4 @@
 pub mod wire;
 pub mod worker;
 mod worker_events;
+pub mod worker_speed;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::scheduler::Scheduler;
 use crate::spec::Step;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
+use crate::worker_speed;
 
 /// A pass leaves out the rest of a pool's or a team's jobs once more of them than this could not
 /// be placed completely for lack of room, or because of the team's limit. Without this limit each
@@ -24,6 +25,10 @@
 /// The half of the estimates with the smaller errors is off by this much on average.
 const MIN_SLACK_FRACTION: f64 = 0.05;
 
+/// Most workers that are looked at for a better one once a worker was found that is as good as any
+/// apart from what was learned. It bounds the time of a placement in a large pool.
+const MAX_FURTHER_WORKERS: usize = 64;
+
 /// Urgency of a job; earlier variants are placed first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -47,6 +52,15 @@
     Room,
 }
 
+/// The worker that was chosen for a task.
+#[derive(Clone, Debug)]
+pub(crate) struct Choice {
+    id: InstanceId,
+    /// Worker that would have been chosen without what was learned, and why it was not; `None` if
+    /// it is the same.
+    instead_of: Option<(InstanceId, &'static str)>,
+}
+
 impl Scheduler {
     /// Places waiting tasks, most urgent jobs first, as many as may be started at the same time. A
     /// gang is placed as a whole beyond that. Does nothing for a short time after a worker rejected
@@ -91,7 +105,7 @@
                 false => record.submission.received_ms,
             };
             let age = signed_ms(now_ms) - signed_ms(age_from_ms);
-            let remaining = signed_ms(remaining_ms(record));
+            let remaining = signed_ms(remaining_ms(record, |step| self.expected_ms(record, step)));
             let slack = objective - age - remaining;
             let urgency = match () {
                 () if record.spec().is_long_running() => Urgency::LongRunning,
@@ -195,18 +209,18 @@
             return None;
         }
         let run = group.iter().map(|it| self.next_run(it)).max().unwrap_or(1);
-        let mut chosen: Vec<(TaskKey, InstanceId)> = Vec::new();
+        let mut chosen: Vec<(TaskKey, Choice)> = Vec::new();
         let need = step.reserved();
         // Reserve room while choosing, so that the members do not get the same room twice.
         for task in group {
             let Some(worker) = self.choose_worker(now, task) else {
                 break;
             };
-            self.workers.get_mut(&worker).expect("it was chosen").used += need;
+            self.workers.get_mut(&worker.id).expect("it was chosen").used += need;
             chosen.push((task.clone(), worker));
         }
         for (_, worker) in &chosen {
-            self.workers.get_mut(worker).expect("it was chosen").used -= need;
+            self.workers.get_mut(&worker.id).expect("it was chosen").used -= need;
         }
         if chosen.len() != group.len() {
             self.request_advice(now, &group[0]);
@@ -233,7 +247,7 @@
 
     /// Returns the best worker for a task; `None` if no worker can run it or the team is at its
     /// limit.
-    pub(crate) fn choose_worker(&self, now: Now, task: &TaskKey) -> Option<InstanceId> {
+    pub(crate) fn choose_worker(&self, now: Now, task: &TaskKey) -> Option<Choice> {
         let record = &self.jobs[&task.job].record;
         let step = record.step(task.step);
         if self.is_team_at_limit(task) {
@@ -242,19 +256,42 @@
         let rack = self.preferred_rack(step, task);
         // Fill up busy workers first, so that idle instances can move to other pools.
         let fullest_first = self.candidates.with_free_cpu(&record.submission.pool, step.reserved().cpu);
-        let mut best: Option<((bool, bool), &InstanceId)> = None;
+        let slow_limit = worker_speed::slow_limit(self.objective_ms(record), record.spec().critical_path_ms());
+        let mut best: Option<((bool, bool, bool), &InstanceId)> = None;
+        // The choice without what was learned.
+        let mut first: Option<((bool, bool), &InstanceId)> = None;
+        let mut further = 0;
         for worker in fullest_first.filter_map(|id| self.workers.get(id)) {
+            if first.is_some_and(|(it, _)| it == (true, true)) {
+                further += 1;
+                if MAX_FURTHER_WORKERS < further {
+                    break;
+                }
+            }
             let is_preferred_rack = rack.as_ref().is_none_or(|rack| worker.listed.rack == *rack);
-            let suitability = (!worker.is_quarantined(now.mono), is_preferred_rack);
-            if best.is_some_and(|(it, _)| suitability <= it) || !self.can_run(now, worker, record, step, task) {
+            let is_trusted = !worker.is_quarantined(now.mono);
+            let is_fast = worker.speed.slowdown(now.mono).is_none_or(|it| it < slow_limit);
+            let suitability = (is_trusted, is_fast, is_preferred_rack);
+            let is_first = first.is_none_or(|(it, _)| it < (is_trusted, is_preferred_rack));
+            let is_best = best.is_none_or(|(it, _)| it < suitability);
+            if !is_first && !is_best || !self.can_run(now, worker, record, step, task) {
                 continue;
             }
-            best = Some((suitability, &worker.listed.id));
-            if suitability == (true, true) {
+            if is_first {
+                first = Some(((is_trusted, is_preferred_rack), &worker.listed.id));
+            }
+            if is_best {
+                best = Some((suitability, &worker.listed.id));
+            }
+            if suitability == (true, true, true) {
                 break;
             }
         }
-        best.map(|(_, id)| id.clone())
+        let (id, first) = (best?.1, first?.1);
+        Some(Choice {
+            id: id.clone(),
+            instead_of: (id != first).then(|| (first.clone(), "slow")),
+        })
     }
 
     /// Returns the rack on which a step should run: the rack of its data; otherwise, for tasks
@@ -292,7 +329,8 @@
 
     /// Assigns a task to a worker and reserves room for it. The start order is sent once the
     /// assignment is in the log.
-    fn assign(&mut self, now: Now, task: &TaskKey, id: InstanceId, run: u32) {
+    fn assign(&mut self, now: Now, task: &TaskKey, choice: Choice, run: u32) {
+        let Choice { id, instead_of } = choice;
         let tracked = self.jobs.get_mut(&task.job).expect("the caller looked it up");
         let record = &mut tracked.record;
         let position = record.position(task).expect("the caller looked it up");
@@ -308,11 +346,20 @@
         let intended = Run::new(RunPhase::Intended, team.clone(), reserved, need, now.mono);
         self.candidates.remove(worker);
         worker.add(key.clone(), intended);
-        self.candidates.insert(worker);
+        self.candidates.insert_again(now.mono, worker);
         *self.usage.entry(team).or_default() += need;
         self.start_window.add(key.clone());
         self.pending_starts.push((id.clone(), key));
         self.mark_dirty(&task.job);
+        if let Some((instead_of, why)) = instead_of {
+            self.log_decision(Decision::Preferred {
+                job: task.job.clone(),
+                task: (task.turn, task.step, task.index),
+                worker: id.clone(),
+                instead_of,
+                why,
+            });
+        }
         self.log_decision(Decision::Placed {
             job: task.job.clone(),
             task: (task.turn, task.step, task.index),
@@ -331,13 +378,13 @@
 }
 
 /// Returns the estimated time until a job ends if all its tasks had room at once, milliseconds.
-/// Only the first occurrence is counted.
-fn remaining_ms(record: &JobRecord) -> u64 {
+/// Only the first occurrence is counted. `expected_ms` is the run time of the tasks of a step.
+fn remaining_ms(record: &JobRecord, expected_ms: impl Fn(usize) -> u64) -> u64 {
     let spec = record.spec();
     let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for (index, step) in spec.steps.iter().enumerate() {
         let start = step.after.iter().map(|it| ends[usize::from(*it)]).max().unwrap_or(0);
-        let remaining = if record.is_step_done(0, index) { 0 } else { step.estimate_ms };
+        let remaining = if record.is_step_done(0, index) { 0 } else { expected_ms(index) };
         ends.push(start.saturating_add(remaining));
     }
     ends.into_iter().max().unwrap_or(0)
--- a/lib/src/run_end.rs
+++ b/lib/src/run_end.rs
@@ -12,7 +12,9 @@
     /// Handles an ended run: updates its task and ends the job if that was its last task
     /// or has failed too often.
     pub(crate) fn handle_run_end(&mut self, now: Now, id: &InstanceId, end: RunEnd) {
-        self.release_run(id, &end.key);
+        if let Some(run) = self.release_run(id, &end.key) {
+            self.learn_run_end(now, id, &end, &run);
+        }
         self.mark_quarantined_end(&end);
         self.mark_started(&end.key.task.job);
         let how = match end.outcome {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::inquiry::{Inquiry, Question};
 use crate::job_record::{CancelKey, JobKey, JobPhase, JobRecord, TaskKey, TaskState};
+use crate::learning::Learned;
 use crate::moved_queue::{Cancel, HandedOn};
 use crate::order::{Action, TokenForm};
 use crate::resources::Resources;
@@ -117,6 +118,8 @@
     pub(crate) last_cleanup: Duration,
     pub(crate) arrivals: HashMap<PoolId, Forecast>,
     pub(crate) advice: HashMap<StepKey, StepAdvice>,
+    /// Run times and worker speeds that this owner has observed.
+    pub(crate) learned: Learned,
     /// When all runs end on workers that an earlier owner recorded as silent.
     pub(crate) silent_until: HashMap<InstanceId, Duration>,
     /// Runs placed by earlier owners, by worker, until the worker is listed or found to
@@ -169,6 +172,7 @@
             processed_cancels: Vec::new(),
             arrivals: HashMap::new(),
             advice: HashMap::new(),
+            learned: Learned::default(),
             silent_until: HashMap::new(),
             inherited_runs: HashMap::new(),
             last_cleanup: now.mono,
@@ -189,6 +193,12 @@
         self
     }
 
+    /// Sets whether run times, worker speeds and interference are learned from runs and used.
+    pub fn with_learning(mut self, learns: bool) -> Scheduler {
+        self.learned.is_disabled = !learns;
+        self
+    }
+
     /// Replaces the operators' configuration.
     pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
         self.catalog = catalog;
--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -16,6 +16,7 @@
 use crate::order::ContactId;
 use crate::resources::Resources;
 use crate::scheduler::START_EXPIRY;
+use crate::worker_speed::{Progress, Speed};
 
 /// Rate of the slowest worker clock relative to true time; the platform guarantees clocks at
 /// most 2% slow.
@@ -27,7 +28,7 @@
 const QUARANTINE_TIME: Duration = Duration::from_secs(4);
 /// Time without progress after which a run counts as stalled.
 /// Twice the interval between two status requests to a busy worker.
-const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
+pub(crate) const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// A worker as listed by the platform.
 #[derive(Clone, Debug, PartialEq)]
@@ -89,6 +90,9 @@
     pub reserved: Resources,
     /// What the run counts against the team's cap.
     pub need: Resources,
+    /// Time on the worker's clock at which a run from the start of its task began, milliseconds;
+    /// zero if that is not known.
+    pub started_ms: u64,
     /// Time on the worker's clock at which the worker last confirmed the run, milliseconds; zero
     /// if it never did.
     pub last_seen_ms: u64,
@@ -173,6 +177,10 @@
     pub silence_recorded_at: Option<Duration>,
     /// Whether the removal of that record is being written to the log.
     pub silence_removal_pending: bool,
+    /// Speed relative to similar workers.
+    pub speed: Speed,
+    /// Whether the worker's tasks make progress.
+    pub progress: Progress,
     clock: Option<Clock>,
     /// Time by which all leases granted so far have ended, on the clock of the owner.
     leases_end_by: Duration,
@@ -207,6 +215,8 @@
             speed_changed_at: Duration::ZERO,
             silence_recorded_at: None,
             silence_removal_pending: false,
+            speed: Speed::default(),
+            progress: Progress::default(),
             clock: None,
             leases_end_by,
             consecutive_failures: 0,
@@ -267,10 +277,13 @@
         self.first_observed_ms = 0;
         self.last_end_seen = 0;
         self.last_end_recorded = 0;
+        self.speed = Speed::default();
+        self.progress = Progress::default();
         self.clock = None;
         self.expect_leases(leases_end_by);
         for run in self.runs.values_mut() {
             // These are times on the clock of the earlier incarnation.
+            run.started_ms = 0;
             run.last_seen_ms = 0;
             run.order_expires_ms = orders_void_ms;
         }
@@ -379,6 +392,14 @@
         now < self.quarantined_until
     }
 
+    /// Whether the worker gets no task because its tasks made no progress: it pauses, or has one
+    /// task that has to make progress first.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        let is_probe = |run: &Run, since: Duration| since <= run.progress_changed_at && now < run.progress_changed_at + STALL_TIMEOUT;
+        let retry_at = self.progress.retry_at();
+        retry_at.is_some_and(|since| now < since || self.runs.values().any(|it| is_probe(it, since)))
+    }
+
     /// Returns the number of tasks of one step that may be running on the worker.
     pub fn count_tasks(&self, job: &JobKey, turn: u32, step: u16) -> u32 {
         let is_same_step = |it: &&RunKey| it.task.job == *job && it.task.turn == turn && it.task.step == step;
@@ -414,6 +435,7 @@
             team,
             reserved,
             need,
+            started_ms: 0,
             last_seen_ms: 0,
             order_expires_ms: 0,
             contact: ContactId::Unnumbered,
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -10,7 +10,7 @@
 use crate::order::{ActiveRun, ContactId, OrderOutcome, Refusal, RunOutcome, TokenForm, WorkerStatus};
 use crate::scheduler::{ENDS_PAGE_SIZE, MIN_STATUS_INTERVAL, PLACEMENT_PAUSE, START_EXPIRY, STATUS_RETRY, Scheduler};
 use crate::start_window::Answer;
-use crate::worker::{Run, RunKey, RunPhase};
+use crate::worker::{Run, RunKey, RunPhase, STALL_TIMEOUT};
 
 impl Scheduler {
     /// Handles a worker's status, given under a contact: ended runs first, then runs in progress,
@@ -90,6 +90,7 @@
             self.handle_run_end(now, id, end);
         }
         self.stop_stalled(now, id);
+        self.judge_speed(now, id);
         let worker = self.workers.get_mut(id).expect("looked up above");
         worker.next_status_request = now.mono + MIN_STATUS_INTERVAL;
         if has_restarted {
@@ -198,6 +199,7 @@
                     if run.phase == RunPhase::Sent {
                         run.phase = RunPhase::Active;
                     }
+                    self.record_start(id, key, clock_ms);
                 }
             }
             OrderOutcome::Lost => {
@@ -275,6 +277,9 @@
         if let Some(run) = worker.runs.get_mut(&active.key) {
             run.last_seen_ms = run.last_seen_ms.max(clock_ms);
             run.was_listed = true;
+            if run.progress_percent < active.percent {
+                worker.progress.advanced(now.mono);
+            }
             if run.progress_percent != active.percent || run.phase != RunPhase::Active {
                 run.progress_percent = active.percent;
                 run.progress_changed_at = now.mono;
@@ -349,10 +354,11 @@
         }
         if 0 < stalled {
             worker.quarantine(now.mono);
-            self.log_decision(Decision::Suspect {
-                worker: id.clone(),
-                why: "tasks make no progress",
-            });
+            let why = match !self.learned.is_disabled && worker.progress.stalled(now.mono, STALL_TIMEOUT) {
+                true => "none of its tasks makes progress",
+                false => "tasks make no progress",
+            };
+            self.log_decision(Decision::Suspect { worker: id.clone(), why });
         }
     }
 }
