--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -144,6 +144,13 @@
         kind: ValueKind::Number(100, 60_000),
         help: "time from the order to move a worker to another pool until it takes tasks, milliseconds",
     },
+    SettingSpec {
+        section: "placement",
+        key: "learned",
+        default: Some(ON),
+        kind: ValueKind::Choice(&[ON, OFF]),
+        help: "whether run times, worker speeds and interference are learned and used",
+    },
 ];
 
 /// Limits that the platform guarantees, from the `[bounds]` section. They are
@@ -202,6 +209,8 @@
     pub forecasts_peaks: bool,
     /// Time from the order to move a worker to another pool until it takes tasks.
     pub move_time: Duration,
+    /// Whether owners learn from runs and place tasks by it.
+    pub learns: bool,
 }
 
 impl Settings {
@@ -246,6 +255,7 @@
             },
             forecasts_peaks: file.text("forecast", "peaks") == ON,
             move_time: file.millis("forecast", "move_ms"),
+            learns: file.text("placement", "learned") == ON,
         }
     }
 }
--- a/fleet/tests/test_group.rs
+++ b/fleet/tests/test_group.rs
@@ -145,6 +145,7 @@
         token_form: TokenForm::Contact,
         forecasts_peaks: true,
         move_time: Duration::from_secs(2),
+        learns: true,
     }
 }
 
--- a/lib/src/late_work.rs
+++ b/lib/src/late_work.rs
@@ -29,7 +29,7 @@
                 false => record.submission.received_ms,
             };
             let age_ms = now_ms.saturating_sub(arrived_ms);
-            if age_ms.saturating_add(placement::remaining_ms(record)) <= self.objective_ms(record) {
+            if age_ms.saturating_add(placement::remaining_ms(record, |it| self.expected_ms(record, it))) <= self.objective_ms(record) {
                 continue;
             }
             let waiting = record.startable_resources(now_ms).cpu;
