request_log: append a request that was sent on twice where it arrives

Callers would have been refused for up to two seconds while instances knew different owners and the log was slow: the instance that one takes for the best appender takes another one for it, and sends the request on.

Now a request that was sent on twice is appended by the instance that gets it, and the list of owners is read again.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -273,12 +273,11 @@
 async fn store_request(node: &Arc<Node>, part: PartitionId, id: &JobKey, request: job_record::Request, deadline: Instant) -> Stored {
     let refuse_at = Instant::now() + PATIENCE;
     let mut possibly_stored = false;
-    let mut failures = 0;
-    let mut moves = 0;
+    let mut history = request_log::History::default();
     let record = request_log::encode(id, &request);
     loop {
         let mut delay = RETRY_DELAY;
-        let cause = match request_log::store(node, part, record.clone(), deadline, failures).await {
+        let cause = match request_log::store(node, part, record.clone(), deadline, history).await {
             Outcome::Stored => return Stored::Done,
             Outcome::Busy(drain) => {
                 let cause = Cause::LogBusy(drain);
@@ -289,22 +288,22 @@
                 cause
             }
             Outcome::Moved => {
-                moves += 1;
-                if moves < MAX_PROMPT_MOVES {
+                history.moves += 1;
+                if history.moves < MAX_PROMPT_MOVES {
                     continue;
                 }
                 log_cause(node)
             }
             Outcome::Unavailable => {
-                failures += 1;
+                history.failures += 1;
                 let cause = log_cause(node);
-                if !possibly_stored && MIN_FAILURES <= failures && refuse_at <= Instant::now() + RETRY_DELAY {
+                if !possibly_stored && MIN_FAILURES <= history.failures && refuse_at <= Instant::now() + RETRY_DELAY {
                     return Stored::Refused(cause);
                 }
                 cause
             }
             Outcome::Unknown => {
-                failures += 1;
+                history.failures += 1;
                 possibly_stored = true;
                 Cause::LogSilent(node.log_silence())
             }
--- a/fleet/src/request_log.rs
+++ b/fleet/src/request_log.rs
@@ -34,6 +34,10 @@
 /// four connections to an instance.
 const MAX_RELAYS: usize = 2;
 
+/// Number of times that a request is sent on before the instance that it is sent to has to append it.
+/// Instances read the list of owners every two seconds, and rank appenders differently meanwhile.
+const MAX_MOVES: usize = 2;
+
 /// Time constant of the rate of requests that instances of the previous build get.
 const RATE_TIME_CONSTANT: Duration = Duration::from_millis(700);
 /// Weight of a request in [`ArrivalRate`], which counts per millisecond.
@@ -55,13 +59,22 @@
     Unknown,
 }
 
+/// Earlier attempts to store a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct History {
+    /// Number of appenders that have failed to store it.
+    pub(crate) failures: usize,
+    /// Number of times that it was sent on as an instance does not append.
+    pub(crate) moves: usize,
+}
+
 /// Records of one caller or of one call from another instance, which share an append.
 #[derive(Debug)]
 struct Unit {
     records: Vec<RequestRecord>,
     /// Time until which the callers wait for the answer.
     deadline: Instant,
-    /// Whether it is appended here although other instances should append.
+    /// Whether it is appended although other instances should append.
     is_substitute: bool,
     reply: oneshot::Sender<Outcome>,
 }
@@ -171,10 +184,10 @@
 }
 
 /// Stores a request by the route that is best now, together with others that wait for it.
-/// `failures` is the number of appenders that have failed to store it.
-pub(crate) async fn store(node: &Arc<Node>, part: PartitionId, record: RequestRecord, deadline: Instant, failures: usize) -> Outcome {
-    let (route, is_substitute) = choose_route(node, part, failures);
-    append(node, part, route, vec![record], deadline, is_substitute).await
+pub(crate) async fn store(node: &Arc<Node>, part: PartitionId, record: RequestRecord, deadline: Instant, history: History) -> Outcome {
+    let (route, is_substitute) = choose_route(node, part, history.failures);
+    let insists = MAX_MOVES <= history.moves;
+    append(node, part, route, vec![record], deadline, is_substitute || insists).await
 }
 
 /// Appends records to a partition of requests, together with others that wait for it, until the
@@ -255,7 +268,8 @@
     };
     let records = records_of(&batch);
     node.metrics.append_records.observe(records.len() as f64);
-    let outcome = call_appender(node, lane.part, records, deadline).await;
+    let insists = batch.iter().any(|it| it.unit.is_substitute);
+    let outcome = call_appender(node, lane.part, records, deadline, insists).await;
     reply_to(batch, outcome);
 }
 
@@ -374,15 +388,16 @@
 }
 
 /// Sends requests through an appender. While it does not answer, it is asked whether it is alive,
-/// so that one that waits for a slow log is told from one that is gone.
-async fn call_appender(node: &Node, part: PartitionId, records: Vec<RequestRecord>, deadline: Instant) -> Outcome {
+/// so that one that waits for a slow log is told from one that is gone. If the call `insists`, the
+/// instance appends even if it takes others for better appenders.
+async fn call_appender(node: &Node, part: PartitionId, records: Vec<RequestRecord>, deadline: Instant, insists: bool) -> Outcome {
     let ranked = ranked_appenders(node, part);
     let pace = node.request_log.pace(part);
     let Some(addr) = pick_appender(node, &ranked, pace.appenders()) else {
         return Outcome::Unavailable;
     };
     let left = deadline.saturating_duration_since(Instant::now());
-    let is_substitute = acceptance::place(&ranked, addr).is_some_and(|it| pace.appenders() <= it);
+    let is_substitute = insists || acceptance::place(&ranked, addr).is_some_and(|it| pace.appenders() <= it);
     let call = Call::Store {
         part,
         records: records.clone(),
@@ -419,7 +434,11 @@
     let (outcome, report) = match reply {
         Reply::Stored(report) => (Outcome::Stored, Some(report)),
         Reply::Busy(report) => (Outcome::Busy(Duration::from_millis(report.drain_ms)), Some(report)),
-        Reply::Moved(report) => (Outcome::Moved, Some(report)),
+        Reply::Moved(report) => {
+            // The instances may know different owners.
+            node.refresh_owners.notify_one();
+            (Outcome::Moved, Some(report))
+        }
         Reply::Appended(_) => (Outcome::Stored, None),
         Reply::LogSilent => {
             lock(&node.request_log.avoided).record_silent_log(now, addr);
