--- a/fleet/tests/test_soak/process.rs
+++ b/fleet/tests/test_soak/process.rs
@@ -30,7 +30,7 @@
 }
 
 /// Returns a port that is free now and that no other instance of this test has.
-fn free_port() -> u16 {
+pub(crate) fn free_port() -> u16 {
     let start = (std::process::id() % 16 * 1200) as u16;
     loop {
         let offset = (start + NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % (PORTS.end - PORTS.start);
@@ -46,6 +46,17 @@
 impl Instance {
     /// Writes the settings of an instance into a folder.
     pub(crate) fn new(folder: &Path, number: usize, log_port: u16, partitions: usize) -> Instance {
+        Instance::with_changes(folder, number, log_port, partitions, &[])
+    }
+
+    /// Writes the settings of an instance into a folder, with other values of some keys.
+    pub(crate) fn with_changes(
+        folder: &Path,
+        number: usize,
+        log_port: u16,
+        partitions: usize,
+        changes: &[(&'static str, String)],
+    ) -> Instance {
         let name = format!("entry-{number}");
         let (caller_port, ready_port) = (free_port(), free_port());
         let values = [
@@ -60,7 +71,7 @@
         ];
         let line = |line: &str| {
             let key = line.split(" =").next().unwrap_or_default();
-            match values.iter().find(|(name, _)| *name == key) {
+            match changes.iter().chain(&values).find(|(name, _)| *name == key) {
                 Some((key, value)) => format!("{key} = {value}\n"),
                 None => format!("{line}\n"),
             }
@@ -101,6 +112,12 @@
         self.is_stopping = false;
     }
 
+    /// Id of the process; `None` if it was not started.
+    #[allow(dead_code, reason = "the soak reads nothing of the process itself")]
+    pub(crate) fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub(crate) fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|it| matches!(it.try_wait(), Ok(None)))
     }
