client_budget: which clients are admitted, and which are closed

Callers got no answer from an instance whose memory or connections were taken by clients that never finish a request.

Cause: nothing decided how much all clients together may hold. Change: a budget in lib/ over all listeners. It bounds connections and the memory of bodies by the memory and the descriptors of the instance, closes the connection with the least progress first, never one whose request is complete, and reserves connections for peers, readiness and metrics and memory for small requests and for peers. After a pause of the process all time limits begin again. It is not used yet.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -52,6 +52,7 @@
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
 //! - [`forecast`]: work that will arrive for a pool.
+//! - [`client_budget`]: connections and memory of clients.
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`owner_shortage`]: when instances with little CPU own partitions.
 //! - [`reachability`]: whether the log answers an instance.
@@ -71,6 +72,8 @@
 pub mod balance;
 mod candidate;
 pub mod catalog;
+pub mod client_budget;
+mod client_connection;
 pub mod clock;
 mod commit;
 mod config;
