fleet: connections and bodies of clients within one budget

Callers of an instance lost their answers when other clients sent heads or empty lines without end, or bodies that stop short of their end: each connection buffered up to 417,792 bytes of a head, bodies were collected without a time limit or a bound over all connections, each chunk kept a buffer, and each of four listeners took as many connections as there were descriptors for all.

Change: the listeners admit, charge and close by client_budget. A head and the empty lines before it have hyper's buffer of 16 KiB and 10 s; a body is refused by its declared length, charged before it is read and copied into one buffer, has 15 s and a minimum rate. A body that was not read completely is refused with 503, as its job has not run. Idle connections stay open for 600 s instead of 10 s. The limits are settings in [clients]; counters by listener and reason; one client_closed line for each reason and second. In the tests the clients of a crowd now share what they send, and two tests are new: the largest legal requests are served, and a measurement (ignored).

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, StatusCode};
@@ -27,10 +26,14 @@
 
 use crate::node::Node;
 use crate::server::{self, HttpResponse};
-use crate::{clock, peer, request_log};
+use crate::{body, clock, peer, request_log};
 
-/// Maximum size of a request body, bytes. The platform has the same limit.
-const MAX_BODY_BYTES: usize = 262_144;
+/// Limits on a request body. The platform has the same limit on its length. The job is held until
+/// it is stored, decoded, as its record and in the append.
+const BODY_LIMITS: body::Limits = body::Limits { bytes: 262_144, copies: 3 };
+/// Time after which a caller is to return whose body was not read, seconds, before a spread of one
+/// more. Clients that hold memory and make no progress are closed within that time.
+const UNREAD_RETRY_SECONDS: u64 = 1;
 /// Maximum size of a request's record, bytes: that of the log, less its key and what an owner adds
 /// when it hands the request on. Requests share appends, and one that the log refuses would fail
 /// the others.
@@ -167,14 +170,15 @@
 /// Stores a submission for the pool that the queue uses, whose owner decides whether the job is
 /// new.
 async fn submit_job(node: &Arc<Node>, request: Request<Incoming>, target: &Target, id: &JobKey) -> HttpResponse {
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
-    let Ok(body) = body else {
-        return error_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long or was cut short");
+    let body = match body::read(request, BODY_LIMITS).await {
+        Ok(body) => body,
+        Err(err) => return unread_response(err),
     };
-    let spec = match caller::decode_job(&body.to_bytes()) {
+    let spec = match caller::decode_job(&body) {
         Ok(spec) => spec,
         Err(err) => return error_response(StatusCode::BAD_REQUEST, &err.to_string()),
     };
+    drop(body);
     let part = node.partition_of(&target.queue.pool);
     let request = job_record::Request::Submit(Submission {
         queue: target.queue.name.clone(),
@@ -195,6 +199,17 @@
     }
 }
 
+/// Responds to a submission whose body was not read to its end, so that the job has not run.
+fn unread_response(err: body::Error) -> HttpResponse {
+    let body::Error::Closed(reason) = err else {
+        return error_response(StatusCode::PAYLOAD_TOO_LARGE, &err.to_string());
+    };
+    let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, reason.name());
+    let seconds = UNREAD_RETRY_SECONDS + u64::from(rand::random::<bool>());
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    response
+}
+
 /// Stores a cancellation in the partition that has the job, or in all that may have it.
 async fn cancel_job(node: &Arc<Node>, target: &Target, id: &JobKey) -> HttpResponse {
     let mut candidates = candidate_pools(node, target);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -23,11 +23,17 @@
 //! - `decision_log`: structured log on standard output.
 //! - `metrics`: Prometheus metrics.
 //! - `server`: HTTP listeners.
+//! - `clients`: admits and closes connections of clients.
+//! - `client_stream`: stream of a client's connection.
+//! - `body`: reads bodies of requests.
 //! - [`supervisor`]: restarts tasks that must not end.
 
 mod actions;
 mod assignments;
+mod body;
 mod caller_api;
+mod client_stream;
+mod clients;
 mod clock;
 mod coordinator;
 mod decision_log;
@@ -51,6 +57,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use oriolewall::client_budget::Listener;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
@@ -85,10 +92,10 @@
             .write("panic", serde_json::json!({ "message": info.to_string() }));
         panic_node.decision_log.flush();
     }));
-    tokio::spawn(server::run(caller_listener, node.clone(), server::Endpoint::Callers));
-    tokio::spawn(server::run(readiness_listener, node.clone(), server::Endpoint::Readiness));
-    tokio::spawn(server::run(peer_listener, node.clone(), server::Endpoint::Peers));
-    tokio::spawn(server::run(metrics_listener, node.clone(), server::Endpoint::Metrics));
+    tokio::spawn(server::run(caller_listener, node.clone(), Listener::Callers));
+    tokio::spawn(server::run(readiness_listener, node.clone(), Listener::Readiness));
+    tokio::spawn(server::run(peer_listener, node.clone(), Listener::Peers));
+    tokio::spawn(server::run(metrics_listener, node.clone(), Listener::Metrics));
     spawn_supervised(&node, "configuration", watch::follow_configuration);
     spawn_supervised(&node, "workers", watch::follow_workers);
     spawn_supervised(&node, "settings", move |node| watch::follow_settings(node, path.clone()));
@@ -101,6 +108,9 @@
         "decision_log",
         |node| async move { node.decision_log.flush_periodically().await },
     );
+    spawn_supervised(&node, "clients", |node| async move {
+        node.clients.check_periodically(&node.decision_log).await
+    });
     let mut sigterm = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
     sigterm.recv().await;
     node.decision_log.write("stop", serde_json::json!({ "reason": "SIGTERM" }));
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -4,7 +4,8 @@
 
 use hyper::StatusCode;
 use oriole_daemon::connection_pool::ConnectionPool;
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use oriolewall::client_budget::Listener;
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
 use crate::node::Node;
 use crate::server::{self, HttpResponse};
@@ -54,6 +55,11 @@
     pub(crate) log_errors: IntCounter,
     /// Number of partitions that this instance owns.
     pub(crate) owned_partitions: IntGauge,
+    /// Connections of clients that were closed, and their requests that were refused, by listener
+    /// and reason.
+    pub(crate) clients_closed: IntCounterVec,
+    clients_open: IntGaugeVec,
+    client_bytes: IntGauge,
     connections_opened: IntGauge,
     config_version: IntGauge,
     open_requests: IntGauge,
@@ -86,7 +92,17 @@
             registry.register(Box::new(metric.clone())).expect("metric names differ");
             metric
         };
+        let clients_open = Opts::new("oriole_clients_open", "Open connections of clients");
+        let clients_open = IntGaugeVec::new(clients_open, &["listener"]).expect("metric names are valid");
+        registry.register(Box::new(clients_open.clone())).expect("metric names differ");
         Metrics {
+            clients_closed: counter_vec(
+                "oriole_clients_closed_total",
+                "Closed connections and refused requests of clients",
+                &["listener", "reason"],
+            ),
+            clients_open,
+            client_bytes: gauge("oriole_client_memory_bytes", "Memory that clients' requests hold"),
             requests: counter_vec("oriole_requests_total", "Callers' requests", &["call", "status"]),
             accept_seconds: histogram("oriole_accept_seconds", "Time to accept a job"),
             commit_seconds: histogram("oriole_commit_seconds", "Time of an owner's commit"),
@@ -134,6 +150,11 @@
     metrics.config_version.set(node.catalog().version as i64);
     metrics.open_requests.set(node.open_requests() as i64);
     metrics.owned_partitions.set(node.lock_owned_partitions().len() as i64);
+    metrics.client_bytes.set(node.clients.used_bytes() as i64);
+    for listener in Listener::ALL {
+        let gauge = metrics.clients_open.with_label_values(&[listener.name()]);
+        gauge.set(node.clients.open(listener) as i64);
+    }
     let mut buffer = Vec::new();
     match TextEncoder::new().encode(&metrics.registry.gather(), &mut buffer) {
         Ok(()) => server::text_response(StatusCode::OK, &String::from_utf8_lossy(&buffer)),
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -20,6 +20,7 @@
 use oriolewall::worker::ListedWorker;
 use tokio::sync::{mpsc, watch};
 
+use crate::clients::Clients;
 use crate::coordinator::CoordinatorState;
 use crate::log::Log;
 use crate::metrics::Metrics;
@@ -88,6 +89,8 @@
     pub(crate) advice_client: Option<AdviceClient>,
     pub(crate) decision_log: decision_log::DecisionLog,
     pub(crate) metrics: Metrics,
+    /// Connections of clients.
+    pub(crate) clients: Arc<Clients>,
     /// Operators' configuration, as far as it has been read.
     pub(crate) configuration: ArcSwap<Configuration>,
     /// Number of changes of `configuration`; owners subscribe to it.
@@ -142,6 +145,7 @@
             request_log: RequestLog::default(),
             advice_client: settings.advice_addr.map(AdviceClient::new),
             decision_log: decision_log::DecisionLog::start(settings.name.clone()),
+            clients: Arc::new(Clients::new(&settings, metrics.clients_closed.clone())),
             metrics,
             configuration: ArcSwap::from_pointee(Configuration::Unread),
             catalog_changes: watch::Sender::new(0),
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use oriole_daemon::client;
@@ -16,12 +15,16 @@
 use crate::node::Node;
 use crate::owner::Event;
 use crate::server::{self, HttpResponse};
-use crate::{coordinator, group, request_log};
+use crate::{body, coordinator, group, request_log};
 
 /// Time limit of a call. It is short because an owner answers from memory.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Maximum size of a call's body, bytes. The largest hold a batch of requests of 1 MiB.
-const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
+/// Limits on a call's body. The largest hold a batch of requests of 1 MiB. The batch is held until
+/// it is appended, as records and as the body of the append.
+const BODY_LIMITS: body::Limits = body::Limits {
+    bytes: 2 * 1024 * 1024,
+    copies: 2,
+};
 
 /// Calls the owner of a partition, in this process or over HTTP. If the owner is not
 /// known or may have changed, a new read of the owners is requested.
@@ -58,13 +61,18 @@
 
 /// Handles the HTTP request of a call from another instance.
 pub(crate) async fn handle_request(node: &Arc<Node>, request: Request<Incoming>) -> HttpResponse {
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
-    let Ok(body) = body else {
-        return server::text_response(StatusCode::PAYLOAD_TOO_LARGE, "the call is too long");
+    let body = match body::read(request, BODY_LIMITS).await {
+        Ok(body) => body,
+        // Any status but 200 states that the call was not carried out.
+        Err(err @ (body::Error::TooLarge | body::Error::Cut)) => {
+            return server::text_response(StatusCode::PAYLOAD_TOO_LARGE, &err.to_string());
+        }
+        Err(err @ body::Error::Closed(_)) => return server::text_response(StatusCode::SERVICE_UNAVAILABLE, &err.to_string()),
     };
-    let Ok(call) = rmp_serde::from_slice::<Call>(&body.to_bytes()) else {
+    let Ok(call) = rmp_serde::from_slice::<Call>(&body) else {
         return server::text_response(StatusCode::BAD_REQUEST, "the call cannot be read");
     };
+    drop(body);
     let reply = handle_call(node, call).await;
     server::json_response(StatusCode::OK, rmp_serde::to_vec(&reply).expect("replies can be encoded"))
 }
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use oriole_daemon::settings::{Error, SettingSpec, Settings as File, ValueKind};
+use oriolewall::client_budget::Limits;
 use oriolewall::id::ZoneId;
 use oriolewall::order::TokenForm;
 
@@ -27,6 +28,17 @@
 /// Value of the setting for [`TokenForm::Contact`].
 const CONTACT_FORM: &str = "contact";
 
+/// Creates the specification of a limit on clients.
+const fn client_spec(key: &'static str, default: &'static str, min: u64, max: u64, help: &'static str) -> SettingSpec {
+    SettingSpec {
+        section: "clients",
+        key,
+        default: Some(default),
+        kind: ValueKind::Number(min, max),
+        help,
+    }
+}
+
 /// Accepted keys. Only those that operators set have a default, as the platform
 /// generates the file with every other key set.
 pub const SPECS: &[SettingSpec] = &[
@@ -110,6 +122,36 @@
         kind: ValueKind::Choice(&[CONTACT_FORM, EPOCH_FORM]),
         help: "form of the fencing tokens in orders to workers",
     },
+    client_spec(
+        "head_bytes",
+        "16384",
+        8_192,
+        65_536,
+        "maximum size of a request's head with the empty lines before it, bytes",
+    ),
+    client_spec("head_ms", "10000", 1_000, 60_000, "time for the head of a request, milliseconds"),
+    client_spec("body_ms", "15000", 1_000, 120_000, "time for the body of a request, milliseconds"),
+    client_spec(
+        "body_rate",
+        "8192",
+        0,
+        1_048_576,
+        "minimum rate of a body over 5 s, bytes per second",
+    ),
+    client_spec(
+        "response_ms",
+        "10000",
+        1_000,
+        120_000,
+        "time within which a client has to take more of a response, milliseconds",
+    ),
+    client_spec(
+        "idle_ms",
+        "600000",
+        10_000,
+        86_400_000,
+        "time after which a connection without requests is closed, milliseconds",
+    ),
 ];
 
 /// Limits that the platform guarantees, from the `[bounds]` section. They are
@@ -126,6 +168,23 @@
     pub coordinator_lease: Duration,
 }
 
+/// Limits on clients, from the `[clients]` section.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Maximum size of a request's head with the empty lines before it, bytes.
+    pub head_bytes: usize,
+    /// Time for the head of a request.
+    pub head_time: Duration,
+    /// Time for the body of a request.
+    pub body_time: Duration,
+    /// Minimum rate of a body, bytes per second.
+    pub body_rate: u64,
+    /// Time within which a client has to take more of a response.
+    pub response_time: Duration,
+    /// Time after which a connection without requests is closed.
+    pub idle_time: Duration,
+}
+
 /// Parsed contents of a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -160,10 +219,28 @@
     pub cpu_millis: u64,
     /// Limit on open file descriptors of this instance.
     pub descriptors: usize,
+    /// Memory of this instance, bytes.
+    pub memory_bytes: usize,
+    /// Limits on clients.
+    pub clients: ClientLimits,
     /// Form of the fencing tokens in orders to workers.
     pub token_form: TokenForm,
 }
 
+impl Default for ClientLimits {
+    fn default() -> ClientLimits {
+        let limits = Limits::default();
+        ClientLimits {
+            head_bytes: 16_384,
+            head_time: limits.head_time,
+            body_time: limits.body_time,
+            body_rate: limits.body_rate,
+            response_time: limits.response_time,
+            idle_time: limits.idle_time,
+        }
+    }
+}
+
 impl Settings {
     /// Reads and validates a settings file.
     pub fn load(path: &Path) -> Result<Settings, Error> {
@@ -196,6 +273,15 @@
             },
             cpu_millis: file.decimal_in_thousandths("limits", "processor"),
             descriptors: file.number("limits", "descriptors") as usize,
+            memory_bytes: (file.number("limits", "memory_mb") as usize) << 20,
+            clients: ClientLimits {
+                head_bytes: file.number("clients", "head_bytes") as usize,
+                head_time: file.millis("clients", "head_ms"),
+                body_time: file.millis("clients", "body_ms"),
+                body_rate: file.number("clients", "body_rate"),
+                response_time: file.millis("clients", "response_ms"),
+                idle_time: file.millis("clients", "idle_ms"),
+            },
             token_form: match file.text("orders", "token") {
                 EPOCH_FORM => TokenForm::Epoch,
                 _ => TokenForm::Contact,
--- a/fleet/tests/test_clients/crowd.rs
+++ b/fleet/tests/test_clients/crowd.rs
@@ -47,15 +47,8 @@
     }
 
     /// Returns what a client sends, in pieces that are sent one at a time.
-    fn pieces(&self, number: usize) -> Vec<Vec<u8>> {
-        let is_complete = number.is_multiple_of(COMPLETE);
-        let head = |length: String| {
-            format!(
-                "POST /q/{:016x} HTTP/1.1\r\nhost: 127.0.0.1\r\n{length}\r\n\r\n",
-                1_000_000 + number
-            )
-            .into_bytes()
-        };
+    fn pieces(&self, is_complete: bool) -> Vec<Vec<u8>> {
+        let head = |length: String| format!("POST /q/00000000000f4240 HTTP/1.1\r\nhost: 127.0.0.1\r\n{length}\r\n\r\n").into_bytes();
         let chunked = || head("transfer-encoding: chunked".to_owned());
         match self {
             Kind::ManyHeaders => {
@@ -93,11 +86,16 @@
                 vec![[head(length), body(PEER_BODY_BYTES, is_complete)].concat()]
             }
             Kind::PartialHead => vec![b"POST /q/".to_vec()],
-            Kind::Reconnecting(kind) => kind.pieces(number),
+            Kind::Reconnecting(kind) => kind.pieces(is_complete),
         }
     }
 }
 
+/// Returns a job of the largest legal size.
+pub(crate) fn largest_job() -> Vec<u8> {
+    body(BODY_BYTES, true)
+}
+
 /// Returns a job that is filled up to a size. All but the complete ones lack their end.
 fn body(size: usize, is_complete: bool) -> Vec<u8> {
     let (begin, end) = (r#"{"phases":[{"count":1,"cpu":1,"memMb":1}],"filler":""#, "\"}");
@@ -117,10 +115,14 @@
 
 impl Crowd {
     pub(crate) fn add(&mut self, addr: SocketAddr, kind: &Kind, count: usize) {
+        // The clients share what they send, so that the test itself needs little memory.
+        let variants = [false, true].map(|is_complete| Arc::new(kind.pieces(is_complete)));
+        let repeats = matches!(kind, Kind::Reconnecting(_));
         for number in 0..count {
             let (done, receiver) = watch::channel(false);
             self.sent.push(receiver);
-            self.clients.spawn(run(addr, kind.clone(), number, done));
+            let pieces = variants[usize::from(number.is_multiple_of(COMPLETE))].clone();
+            self.clients.spawn(run(addr, pieces, repeats, done));
         }
     }
 
@@ -133,8 +135,7 @@
     }
 }
 
-async fn run(addr: SocketAddr, kind: Kind, number: usize, done: watch::Sender<bool>) {
-    let pieces = Arc::new(kind.pieces(number));
+async fn run(addr: SocketAddr, pieces: Arc<Vec<Vec<u8>>>, repeats: bool, done: watch::Sender<bool>) {
     loop {
         if let Ok(mut stream) = TcpStream::connect(addr).await {
             for piece in pieces.iter() {
@@ -148,7 +149,7 @@
             wait_until_closed(&mut stream).await;
         }
         done.send_replace(true);
-        if !matches!(kind, Kind::Reconnecting(_)) {
+        if !repeats {
             return;
         }
         // A client that is refused at once must not keep the test's own threads busy.
--- a/fleet/tests/test_clients/main.rs
+++ b/fleet/tests/test_clients/main.rs
@@ -21,8 +21,11 @@
 mod process;
 mod site;
 
+use bytes::Bytes;
+use oriole_daemon::connection_pool::ConnectionPool;
+
 use crate::crowd::{Crowd, Kind};
-use crate::site::{Port, Site};
+use crate::site::{Machine, Port, Site};
 
 /// Clients that send heads over the limit or without end.
 const HEAD_CLIENTS: usize = 120;
@@ -32,10 +35,11 @@
 const CHUNK_CLIENTS: usize = 60;
 /// Clients that send calls of the largest legal size to the listener for peers.
 const PEER_CLIENTS: usize = 24;
-/// File descriptors of the instance, as the platform gives them to the smallest ones.
-const DESCRIPTORS: usize = 4100;
-/// File descriptors of the instance in the test of descriptors.
-const FEW_DESCRIPTORS: usize = 400;
+/// The instance: little memory, and the descriptors that the platform gives to the smallest ones.
+const SMALL: Machine = Machine {
+    memory_mb: 32,
+    descriptors: 4100,
+};
 /// Silent clients of each listener in the test of descriptors.
 const SILENT_CLIENTS: usize = 150;
 
@@ -123,17 +127,59 @@
     // further ones until a time limit had passed.
     let ports = [Port::Callers, Port::Peers, Port::Readiness, Port::Metrics];
     let parts = ports.map(|it| (it, Kind::PartialHead, SILENT_CLIENTS));
-    check_with(FEW_DESCRIPTORS, &parts).await;
+    check_with(Machine { descriptors: 400, ..SMALL }, &parts).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_largest_legal_requests_are_served_without_load() {
+    // A budget that is too small for one request would refuse it for ever.
+    let mut site = Site::start(SMALL).await;
+    let callers = ConnectionPool::new(site.address(Port::Callers), 1);
+    let job = crowd::largest_job();
+    assert_eq!(site.submit_body(&callers, Bytes::from(job.clone())).await, 200);
+    assert_eq!(site.submit_body(&callers, Bytes::from([&job[..], b" "].concat())).await, 413);
+    let peers = ConnectionPool::new(site.address(Port::Peers), 1);
+    // It is read completely and is no call.
+    let body = Bytes::from(vec![0xc1; 2 * 1024 * 1024]);
+    assert_eq!(site.submit_body(&peers, body).await, 400);
+    site.check_process();
+}
+
+/// Measures the peak memory of an instance of 160 MiB, see docs/MEASUREMENTS.md.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[ignore = "a measurement with up to 2,900 connections"]
+async fn peak_memory_with_many_clients() {
+    let machine = Machine { memory_mb: 160, ..SMALL };
+    let kinds = [
+        Kind::ManyHeaders,
+        Kind::EndlessHeader,
+        Kind::EmptyLines,
+        Kind::WholeBody,
+        Kind::LargeChunks,
+        Kind::SmallChunks,
+    ];
+    for count in [0, 300, 2900] {
+        for kind in kinds.iter().take(if count == 0 { 1 } else { kinds.len() }) {
+            let mut site = Site::start(machine).await;
+            let before = site.open_connection().await;
+            let mut crowd = Crowd::default();
+            crowd.add(site.address(Port::Callers), kind, count);
+            crowd.settle().await;
+            site.wait_until_steady().await;
+            site.check_ordinary_requests(before).await;
+            println!("{count} {kind:?}: {} KB", site.peak_memory_kb());
+        }
+    }
 }
 
 /// Has clients send to an instance, and checks it while they are connected.
 async fn check(parts: &[(Port, Kind, usize)]) {
-    check_with(DESCRIPTORS, parts).await;
+    check_with(SMALL, parts).await;
 }
 
-/// Does the same with a limit on descriptors.
-async fn check_with(descriptors: usize, parts: &[(Port, Kind, usize)]) {
-    let mut site = Site::start(descriptors).await;
+/// Does the same with an instance of another size.
+async fn check_with(machine: Machine, parts: &[(Port, Kind, usize)]) {
+    let mut site = Site::start(machine).await;
     let before = site.open_connection().await;
     let mut crowd = Crowd::default();
     for (port, kind, count) in parts {
--- a/fleet/tests/test_clients/site.rs
+++ b/fleet/tests/test_clients/site.rs
@@ -15,8 +15,6 @@
 use crate::log::{self, Log, OPERATORS};
 use crate::process::{self, Instance};
 
-/// Memory of the instance, MiB.
-const MEMORY_MB: u64 = 32;
 /// Time within which the instance gets ready, and within which a request is answered.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Number of times that a caller sends a refused request.
@@ -38,19 +36,26 @@
     Metrics,
 }
 
+/// What the instance may use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Machine {
+    pub(crate) memory_mb: u64,
+    pub(crate) descriptors: usize,
+}
+
 pub(crate) struct Site {
     instance: Instance,
     peer_port: u16,
     metrics_port: u16,
     folder: PathBuf,
-    descriptors: usize,
+    machine: Machine,
     requests_sent: u64,
     _running: MutexGuard<'static, ()>,
 }
 
 impl Site {
     /// Starts the log and an instance, and waits until it is ready.
-    pub(crate) async fn start(descriptors: usize) -> Site {
+    pub(crate) async fn start(machine: Machine) -> Site {
         let running = RUNNING.lock().await;
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("clients-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
@@ -60,8 +65,8 @@
         let changes = [
             ("peers", format!("127.0.0.1:{peer_port}")),
             ("metrics", format!("127.0.0.1:{metrics_port}")),
-            ("memory_mb", MEMORY_MB.to_string()),
-            ("descriptors", descriptors.to_string()),
+            ("memory_mb", machine.memory_mb.to_string()),
+            ("descriptors", machine.descriptors.to_string()),
         ];
         let mut instance = Instance::with_changes(&folder, 0, log_port, log::PARTS, &changes);
         instance.start();
@@ -71,7 +76,7 @@
             peer_port,
             metrics_port,
             folder,
-            descriptors,
+            machine,
             requests_sent: 0,
             _running: running,
         }
@@ -94,12 +99,16 @@
         connection
     }
 
-    /// Submits a job. Returns the status of the answer, 0 if there is none.
     async fn submit(&mut self, connection: &ConnectionPool) -> u16 {
-        self.requests_sent += 1;
         let body = json!({ "spec": "x".repeat(1000), "phases": [{ "count": 1, "cpu": 1, "memMb": 1 }] });
+        self.submit_body(connection, Bytes::from(body.to_string())).await
+    }
+
+    /// Submits a job. Returns the status of the answer, 0 if there is none.
+    pub(crate) async fn submit_body(&mut self, connection: &ConnectionPool, body: Bytes) -> u16 {
+        self.requests_sent += 1;
         let path = format!("/q/{:016x}", self.requests_sent);
-        let call = Call::post(connection.addr(), path, Bytes::from(body.to_string()), PATIENCE);
+        let call = Call::post(connection.addr(), path, body, PATIENCE);
         connection.call(call).await.map_or(0, |it| it.status.as_u16())
     }
 
@@ -140,12 +149,12 @@
 
     /// Waits until the process has read what it will read, as seen from its peak memory.
     pub(crate) async fn wait_until_steady(&self) {
-        let peak = || self.instance.process_id().map_or(0, peak_memory_kb);
-        let (mut last, mut unchanged) = (peak(), 0);
+        let (mut last, mut unchanged) = (self.peak_memory_kb(), 0);
         for _ in 0..STEADY_CHECKS * 10 {
             tokio::time::sleep(Duration::from_millis(100)).await;
-            unchanged = if peak() == last { unchanged + 1 } else { 0 };
-            last = peak();
+            let peak = self.peak_memory_kb();
+            unchanged = if peak == last { unchanged + 1 } else { 0 };
+            last = peak;
             if unchanged == STEADY_CHECKS {
                 return;
             }
@@ -157,14 +166,26 @@
         assert!(self.instance.is_running(), "the process has ended");
         let id = self.instance.process_id().expect("the process was started");
         let peak_kb = peak_memory_kb(id);
-        let limit = self.descriptors;
+        let Machine {
+            memory_mb,
+            descriptors: limit,
+        } = self.machine;
         let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
         println!("peak memory {peak_kb} KB, {descriptors} descriptors");
         assert!(
-            peak_kb <= MEMORY_MB * 1024,
-            "peak memory {peak_kb} KB, the machine has {MEMORY_MB} MiB"
+            peak_kb <= memory_mb * 1024,
+            "peak memory {peak_kb} KB, the machine has {memory_mb} MiB"
         );
         assert!(descriptors <= limit, "{descriptors} descriptors are open, the limit is {limit}");
+        self.check_panics();
+    }
+
+    /// Returns the highest resident memory of the process so far.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        self.instance.process_id().map_or(0, peak_memory_kb)
+    }
+
+    fn check_panics(&self) {
         let panics = self.instance.lines_with("\"panic\"");
         assert!(panics.is_empty(), "{panics:?}");
     }
--- a/fleet/tests/test_group.rs
+++ b/fleet/tests/test_group.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriole_daemon::client;
-use oriole_fleet::settings::{PlatformBounds, Settings};
+use oriole_fleet::settings::{ClientLimits, PlatformBounds, Settings};
 use oriolewall::order::TokenForm;
 use oriolewall::rpc::{Call, Reply, UsageReport};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -140,6 +140,8 @@
         },
         cpu_millis: 1000,
         descriptors: 4100,
+        memory_bytes: 260 << 20,
+        clients: ClientLimits::default(),
         token_form: TokenForm::Contact,
     }
 }
--- a/fleet/tests/test_odd_entries.rs
+++ b/fleet/tests/test_odd_entries.rs
@@ -9,7 +9,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use oriole_fleet::settings::{PlatformBounds, Settings};
+use oriole_fleet::settings::{ClientLimits, PlatformBounds, Settings};
 use oriole_platform::log::{Entry, encode_records};
 use oriolewall::order::TokenForm;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -143,6 +143,8 @@
         },
         cpu_millis: 1000,
         descriptors: 4100,
+        memory_bytes: 260 << 20,
+        clients: ClientLimits::default(),
         token_form: TokenForm::Contact,
     }
 }
--- a/fleet/tests/test_settings.rs
+++ b/fleet/tests/test_settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriole_fleet::settings::Settings;
+use oriole_fleet::settings::{ClientLimits, Settings};
 use oriolewall::order::TokenForm;
 
 const EXAMPLE: &str = include_str!("../../examples/fleet.ini");
@@ -14,6 +14,7 @@
     assert_eq!(settings.partitions, 16);
     assert_eq!(settings.bounds.lease_max, Duration::from_secs(10));
     assert_eq!(settings.cpu_millis, 250);
+    assert_eq!(settings.memory_bytes, 260 << 20);
     assert!(settings.machines_addr.is_some());
     assert!(settings.advice_addr.is_none());
 }
@@ -28,6 +29,21 @@
     assert!(err.starts_with("fleet.ini: [orders] token = \"plain\": must be one of"), "{err}");
 }
 
+#[test]
+fn limits_on_clients_have_defaults_that_the_file_may_change() {
+    let limits = |text: &str| Settings::parse("fleet.ini", &format!("{EXAMPLE}{text}")).map(|it| it.clients);
+    assert_eq!(limits("").unwrap(), ClientLimits::default());
+    let expected = ClientLimits {
+        head_bytes: 8192,
+        body_time: Duration::from_secs(20),
+        ..ClientLimits::default()
+    };
+    assert_eq!(limits("\n[clients]\nhead_bytes = 8192\nbody_ms = 20000\n").unwrap(), expected);
+    let err = limits("\n[clients]\nhead_bytes = 100\n").unwrap_err().to_string();
+    let expected = "fleet.ini: [clients] head_bytes = \"100\": must be a whole number from 8192 to 65536";
+    assert!(err.starts_with(expected), "{err}");
+}
+
 #[test]
 fn error_names_file_setting_value_and_allowed_values() {
     let cases = [
--- a/lib/src/client_budget.rs
+++ b/lib/src/client_budget.rs
@@ -418,6 +418,11 @@
         self.connections.get(&id).and_then(|it| it.closing)
     }
 
+    /// Whether the body of a request is being read.
+    pub fn is_reading_body(&self, id: ConnectionId) -> bool {
+        self.connections.get(&id).is_some_and(|it| it.phase == Phase::Body)
+    }
+
     /// Connections whose request waits for memory.
     pub fn waiting(&self) -> impl Iterator<Item = ConnectionId> {
         self.connections
