--- a/fleet/tests/test_group.rs
+++ b/fleet/tests/test_group.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriole_daemon::client;
-use oriole_fleet::settings::{PlatformBounds, Settings};
+use oriole_fleet::settings::{ClientLimits, PlatformBounds, Settings};
 use oriolewall::commit_size::CommitLimits;
 use oriolewall::order::TokenForm;
 use oriolewall::rpc::{Call, Reply, UsageReport};
@@ -142,6 +142,8 @@
         },
         cpu_millis: 1000,
         descriptors: 4100,
+        memory_bytes: 260 << 20,
+        clients: ClientLimits::default(),
         token_form: TokenForm::Contact,
         forecasts_peaks: true,
         move_time: Duration::from_secs(2),
--- a/fleet/tests/test_peaks.rs
+++ b/fleet/tests/test_peaks.rs
@@ -9,8 +9,9 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use oriole_daemon::client;
-use oriole_fleet::settings::{PlatformBounds, Settings};
+use oriole_fleet::settings::{ClientLimits, PlatformBounds, Settings};
 use oriolewall::balance::PoolLoad;
+use oriolewall::commit_size::CommitLimits;
 use oriolewall::demand_pattern::{Interval, Pattern};
 use oriolewall::id::PoolId;
 use oriolewall::order::TokenForm;
@@ -129,6 +130,7 @@
         advice_addr: None,
         partitions: 1,
         member_ttl: Duration::from_secs(1),
+        commit_limits: CommitLimits::default(),
         bounds: PlatformBounds {
             lease_max: Duration::from_secs(10),
             stop_max: Duration::from_millis(200),
@@ -137,9 +139,12 @@
         },
         cpu_millis: 1000,
         descriptors: 4100,
+        memory_bytes: 260 << 20,
+        clients: ClientLimits::default(),
         token_form: TokenForm::Contact,
         forecasts_peaks,
         move_time: Duration::from_secs(2),
+        learns: true,
     };
     tokio::spawn(oriole_fleet::run(settings, PathBuf::from("none")));
     peer_addr
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -58,6 +58,7 @@
 //! - [`demand_pattern`]: what is known of a pool's demand peaks.
 //! - [`peak_forecast`]: forecast of the demand peaks of all pools.
 //! - [`peak_event`]: events of that forecast.
+//! - [`client_budget`]: connections and memory of clients.
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`owner_shortage`]: when instances with little CPU own partitions.
 //! - [`reachability`]: whether the log answers an instance.
@@ -79,6 +80,8 @@
 pub mod balance;
 mod candidate;
 pub mod catalog;
+pub mod client_budget;
+mod client_connection;
 pub mod clock;
 mod commit;
 pub mod commit_size;
