--- a/lib/tests/test_peak_forecast.rs
+++ b/lib/tests/test_peak_forecast.rs
@@ -429,6 +429,11 @@
     let two_days_later = EPOCH_MS + 2 * 24 * 3600 * 1000;
     assert!(matches!(Pattern::decode(two_days_later, &good.encode()), Err(Error::Stale(_))));
     assert!(matches!(Pattern::decode(EPOCH_MS, b"?"), Err(Error::Undecodable(_))));
+    // A height above the CPU of all instances, which overload can cause, is limited to that.
+    let mut forecaster = Forecaster::new(EPOCH_MS + 22_000, MOVE_TIME, [(PoolId::from("a"), good.clone())]);
+    let few = HeightBounds { min: 0, max: HEIGHT / 4 };
+    forecaster.observe(EPOCH_MS + 22_000, &BTreeMap::new(), few);
+    assert_eq!(forecaster.expected_demand(EPOCH_MS + 24_000, &PoolId::from("a")), few.max);
     // The peaks of a pattern that is too old, or higher than all instances could be, do not come.
     for (age_ms, max) in [(24_000 * 6, BOUNDS.max), (22_000, HEIGHT / 20)] {
         let mut forecaster = Forecaster::new(EPOCH_MS + age_ms, MOVE_TIME, [(PoolId::from("a"), good.clone())]);
