placement: keep images apart that slow each other down

What callers saw: tasks of some images took longer, or answered later, on workers that also ran tasks of certain other images, and placement put them together again.

Cause: the owner packed tasks by room alone and compared nothing of what workers report.

Change: the owner compares what tasks cost beside each other image with what they cost without it, on the same worker or rack where possible, over the last 20 s. An effect that is certain on four workers makes placement prefer workers without the other image, after quarantine, speed and rack. No task waits for it, and a worker without tasks is taken only while the pool is well packed. Decision log lines and the counter of preferences tell what was found and what it changed.

Result: without the observations, the test that places two images apart fails. One-sided, mutual, changing, many and no interference are replayed, and a slow worker, a slow rack, a large task and an innocent neighbor are not blamed. A property test finds placement the same with and without learning while nothing stands out. The effect on a deployment is not measured.

--- a/bench/src/measure/owner.rs
+++ b/bench/src/measure/owner.rs
@@ -89,16 +89,17 @@
 }
 
 fn submission(random: &mut StdRng, now: Now) -> Request {
-    let step = |after: Vec<u16>, random: &mut StdRng| Step {
-        count: random.random_range(2..14),
-        need: Resources {
-            cpu: random.random_range(4000..13_000),
-            mem: 24_000,
-            gpu: 0,
-        },
-        estimate_ms: RUN_TIME.as_millis() as u64,
-        after: after.into_iter().collect(),
-        ..Step::default()
+    let step = |after: Vec<u16>, random: &mut StdRng| {
+        let count = random.random_range(2..14);
+        let cpu = random.random_range(4000..13_000);
+        Step {
+            count,
+            need: Resources { cpu, mem: 24_000, gpu: 0 },
+            estimate_ms: RUN_TIME.as_millis() as u64,
+            after: after.into_iter().collect(),
+            image: Arc::from(format!("image{}", cpu % 8)),
+            ..Step::default()
+        }
     };
     let mut steps = vec![step(Vec::new(), random)];
     if random.random_bool(0.6) {
--- a/fleet/src/actions.rs
+++ b/fleet/src/actions.rs
@@ -134,6 +134,8 @@
             Decision::Numbered { .. } => "numbered",
             Decision::Suspect { .. } => "suspect",
             Decision::Slow { .. } => "slow",
+            Decision::Interferes { .. } => "interferes",
+            Decision::InterferenceOver { .. } => "interference_over",
             Decision::Preferred { why, .. } => {
                 self.node.metrics.preferences.with_label_values(&[why]).inc();
                 "preferred"
--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -11,10 +11,22 @@
 use crate::id::{InstanceId, PoolId};
 use crate::worker::Worker;
 
+/// Workers in use, per worker that their tasks would fill, up to which one more is taken to keep
+/// images apart. Keeping them apart costs at most a quarter more workers, and one.
+const MAX_SPARSENESS: f64 = 1.25;
+
+/// Workers of a pool in ascending order of free CPU.
+#[derive(Debug, Default)]
+struct Pool {
+    by_free_cpu: BTreeSet<(u64, InstanceId)>,
+    /// Workers with tasks: their number, CPU in use and capacity.
+    in_use: (u64, u64, u64),
+}
+
 /// Workers in ascending order of free CPU, by pool. Rebuilt for each placement pass.
 #[derive(Debug, Default)]
 pub(crate) struct Candidates {
-    by_pool: HashMap<PoolId, BTreeSet<(u64, InstanceId)>>,
+    by_pool: HashMap<PoolId, Pool>,
     /// Pools of which no worker is left out although the tasks of some made no progress.
     without_pauses: HashSet<PoolId>,
 }
@@ -35,7 +47,7 @@
             }
         }
         for (pool, workers) in paused {
-            if candidates.by_pool.get(pool).map_or(0, BTreeSet::len) < workers.len() {
+            if candidates.by_pool.get(pool).map_or(0, |it| it.by_free_cpu.len()) < workers.len() {
                 candidates.without_pauses.insert(pool.clone());
                 workers.into_iter().for_each(|it| candidates.insert(it));
             }
@@ -53,13 +65,24 @@
     /// Adds a worker with its present free CPU.
     pub(crate) fn insert(&mut self, worker: &Worker) {
         let pool = self.by_pool.entry(worker.listed.pool.clone()).or_default();
-        pool.insert((free_cpu(worker), worker.listed.id.clone()));
+        if pool.by_free_cpu.insert((free_cpu(worker), worker.listed.id.clone())) && !worker.runs.is_empty() {
+            let (workers, used, capacity) = pool.in_use;
+            pool.in_use = (workers + 1, used + worker.used.cpu, capacity + worker.listed.capacity.cpu);
+        }
     }
 
     /// Removes a worker whose free CPU has not changed since it was added.
     pub(crate) fn remove(&mut self, worker: &Worker) {
         if let Some(pool) = self.by_pool.get_mut(&worker.listed.pool) {
-            pool.remove(&(free_cpu(worker), worker.listed.id.clone()));
+            let is_removed = pool.by_free_cpu.remove(&(free_cpu(worker), worker.listed.id.clone()));
+            if is_removed && !worker.runs.is_empty() {
+                let (workers, used, capacity) = pool.in_use;
+                pool.in_use = (
+                    workers.saturating_sub(1),
+                    used.saturating_sub(worker.used.cpu),
+                    capacity.saturating_sub(worker.listed.capacity.cpu),
+                );
+            }
         }
     }
 
@@ -67,9 +90,20 @@
     pub(crate) fn with_free_cpu(&self, pool: &PoolId, cpu: u64) -> impl Iterator<Item = &InstanceId> {
         let workers = self.by_pool.get(pool).into_iter();
         workers
-            .flat_map(move |it| it.range((cpu, InstanceId::from(""))..))
+            .flat_map(move |it| it.by_free_cpu.range((cpu, InstanceId::from(""))..))
             .map(|(_, id)| id)
     }
+
+    /// Whether a worker without tasks may be used only to keep images apart: the tasks of a pool
+    /// are on few more workers than they would fill.
+    pub(crate) fn may_use_empty(&self, pool: &PoolId) -> bool {
+        let (workers, used, capacity) = self.by_pool.get(pool).map_or((0, 0, 0), |it| it.in_use);
+        if workers == 0 || capacity == 0 {
+            return true;
+        }
+        let filled = (used as f64 * workers as f64 / capacity as f64).ceil();
+        workers as f64 <= (MAX_SPARSENESS * filled).ceil()
+    }
 }
 
 fn free_cpu(worker: &Worker) -> u64 {
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -2,6 +2,8 @@
 //!
 //! Names of variants and fields are part of the log format.
 
+use std::sync::Arc;
+
 use serde::Serialize;
 
 use crate::id::{InstanceId, PoolId, TeamId};
@@ -175,6 +177,26 @@
         /// Least run time on the worker, percent of that on similar ones.
         percent: u32,
     },
+    /// Tasks of an image were found to be slowed down beside those of another one.
+    Interferes {
+        /// Image that is slowed down.
+        image: Arc<str>,
+        /// Image beside which it is.
+        neighbor: Arc<str>,
+        /// Run time or response time beside it, percent of that without it.
+        percent: u32,
+        /// Number of workers on which this was observed.
+        workers: usize,
+        /// Standard deviation over the workers, percent.
+        spread_percent: u32,
+    },
+    /// Such a slowdown has ended, or was not observed for some time.
+    InterferenceOver {
+        /// Image that was slowed down.
+        image: Arc<str>,
+        /// Image beside which it was.
+        neighbor: Arc<str>,
+    },
     /// A task was placed on another worker than the first with room, for what was learned.
     Preferred {
         /// Key of the job.
--- a/lib/src/learning.rs
+++ b/lib/src/learning.rs
@@ -10,6 +10,7 @@
 use crate::clock::Now;
 use crate::decision::Decision;
 use crate::id::{InstanceId, PoolId};
+use crate::interference::Interference;
 use crate::job_record::JobRecord;
 use crate::order::{RunEnd, RunOutcome};
 use crate::resources::Resources;
@@ -23,7 +24,7 @@
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time between the last report of a run and that of its end with which the run counts:
 /// twice the time for which a worker delays its answer to a status request.
-const MAX_END_DELAY_MS: u64 = 3000;
+pub(crate) const MAX_END_DELAY_MS: u64 = 3000;
 /// Least progress from which the duration of a run is extrapolated, percent. Progress is reported
 /// in whole percent, so the result is off by at most a tenth.
 const MIN_PROGRESS: u32 = 10;
@@ -35,6 +36,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Learned {
     pub(crate) run_times: RunTimes,
+    pub(crate) interference: Interference,
     /// Median of the workers' run times, as multiples of the expected ones, by group.
     usual_ratios: HashMap<Group, f64>,
     compared_at: Duration,
@@ -93,9 +95,12 @@
         let elapsed_ms = clock_ms - run.started_ms;
         let class = class_of(record, end.key.task.step);
         let expected = self.learned.run_times.estimate(&class, step.estimate_ms);
-        // The members of a gang wait for the slowest of them.
+        // The members of a gang wait for the slowest of them. A known slowdown by neighbors is not
+        // the worker's.
         if let Some(expected) = expected.filter(|_| !step.gang) {
-            worker.speed.record(now.mono, elapsed_ms as f64 / expected.p50_ms as f64);
+            worker
+                .speed
+                .record(now.mono, elapsed_ms as f64 / expected.p50_ms as f64 / run.neighbor_slowdown);
         }
         self.learned.run_times.record(class, step.estimate_ms, elapsed_ms);
     }
@@ -132,7 +137,7 @@
             .learned
             .run_times
             .estimate(&class_of(record, key.task.step), step.estimate_ms)?;
-        let ratio = |ms: f64| ms / expected.p50_ms as f64;
+        let ratio = |ms: f64| ms / expected.p50_ms as f64 / run.neighbor_slowdown;
         match run.progress_percent {
             percent @ MIN_PROGRESS..100 => Some(ratio(elapsed_ms as f64 * 100.0 / f64::from(percent + 1))),
             _ => Some(ratio(elapsed_ms as f64)),
@@ -164,7 +169,7 @@
 }
 
 /// Returns the class of the tasks of a step, which must exist.
-fn class_of(record: &JobRecord, step: u16) -> Class {
+pub(crate) fn class_of(record: &JobRecord, step: u16) -> Class {
     Class {
         queue: record.submission.queue.clone(),
         step,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -59,6 +59,7 @@
 //! - [`tenure`]: whether another owner may have held a partition meanwhile.
 //! - [`order_history`]: recent orders of fleet coordinators to instances.
 //! - [`run_time`]: run times of similar tasks.
+//! - [`interference`]: images that slow down others on the same worker.
 //! - [`worker_speed`]: speed and progress of a worker.
 //! - [`advice`]: advice on which workers may run a step.
 //! - [`balance`]: moves of instances between pools as demand changes.
@@ -90,6 +91,7 @@
 pub mod health;
 pub mod id;
 pub mod inquiry;
+pub mod interference;
 pub mod job;
 pub mod job_record;
 pub mod key;
@@ -99,6 +101,7 @@
 pub mod maintain;
 pub mod member;
 mod moved_queue;
+mod neighbors;
 pub mod order;
 pub mod order_history;
 pub mod owner_shortage;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -52,6 +52,30 @@
     Room,
 }
 
+/// How well a worker that can run a task suits it; earlier fields outweigh later ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Suitability {
+    is_trusted: bool,
+    is_fast: bool,
+    is_on_preferred_rack: bool,
+    /// Whether no task on the worker is known to interfere with the task.
+    is_apart: bool,
+}
+
+impl Suitability {
+    const BEST: Suitability = Suitability {
+        is_trusted: true,
+        is_fast: true,
+        is_on_preferred_rack: true,
+        is_apart: true,
+    };
+
+    /// The part that does not depend on what was learned.
+    fn unlearned(&self) -> (bool, bool) {
+        (self.is_trusted, self.is_on_preferred_rack)
+    }
+}
+
 /// The worker that was chosen for a task.
 #[derive(Clone, Debug)]
 pub(crate) struct Choice {
@@ -257,40 +281,51 @@
         // Fill up busy workers first, so that idle instances can move to other pools.
         let fullest_first = self.candidates.with_free_cpu(&record.submission.pool, step.reserved().cpu);
         let slow_limit = worker_speed::slow_limit(self.objective_ms(record), record.spec().critical_path_ms());
-        let mut best: Option<((bool, bool, bool), &InstanceId)> = None;
+        let is_concerned = self.learned.interference.concerns(&step.image);
+        // Empty workers are taken to keep images apart only while the pool is well packed.
+        let may_use_empty = is_concerned && self.candidates.may_use_empty(&record.submission.pool);
+        let mut best: Option<(Suitability, &InstanceId)> = None;
         // The choice without what was learned.
-        let mut first: Option<((bool, bool), &InstanceId)> = None;
-        let mut further = 0;
+        let mut first: Option<(Suitability, &InstanceId)> = None;
+        let (mut further, mut compared) = (0, 0);
         for worker in fullest_first.filter_map(|id| self.workers.get(id)) {
-            if first.is_some_and(|(it, _)| it == (true, true)) {
+            if first.is_some_and(|(it, _)| it.unlearned() == Suitability::BEST.unlearned()) {
                 further += 1;
                 if MAX_FURTHER_WORKERS < further {
                     break;
                 }
             }
-            let is_preferred_rack = rack.as_ref().is_none_or(|rack| worker.listed.rack == *rack);
-            let is_trusted = !worker.is_quarantined(now.mono);
-            let is_fast = worker.speed.slowdown(now.mono).is_none_or(|it| it < slow_limit);
-            let suitability = (is_trusted, is_fast, is_preferred_rack);
-            let is_first = first.is_none_or(|(it, _)| it < (is_trusted, is_preferred_rack));
+            let mut suitability = Suitability {
+                is_trusted: !worker.is_quarantined(now.mono),
+                is_fast: worker.speed.slowdown(now.mono).is_none_or(|it| it < slow_limit),
+                is_on_preferred_rack: rack.as_ref().is_none_or(|rack| worker.listed.rack == *rack),
+                is_apart: true,
+            };
+            let is_first = first.is_none_or(|(it, _)| it.unlearned() < suitability.unlearned());
+            if is_concerned && best.is_none_or(|(it, _)| it < suitability) {
+                compared += 1;
+                let is_usable = may_use_empty || !worker.runs.is_empty();
+                suitability.is_apart = is_usable && compared <= MAX_FURTHER_WORKERS && self.is_apart(worker, &step.image);
+            }
             let is_best = best.is_none_or(|(it, _)| it < suitability);
             if !is_first && !is_best || !self.can_run(now, worker, record, step, task) {
                 continue;
             }
             if is_first {
-                first = Some(((is_trusted, is_preferred_rack), &worker.listed.id));
+                first = Some((suitability, &worker.listed.id));
             }
             if is_best {
                 best = Some((suitability, &worker.listed.id));
             }
-            if suitability == (true, true, true) {
+            if suitability == Suitability::BEST {
                 break;
             }
         }
-        let (id, first) = (best?.1, first?.1);
+        let ((_, id), (suitability, first)) = (best?, first?);
+        let why = if suitability.is_fast { "interference" } else { "slow" };
         Some(Choice {
             id: id.clone(),
-            instead_of: (id != first).then(|| (first.clone(), "slow")),
+            instead_of: (id != first).then(|| (first.clone(), why)),
         })
     }
 
@@ -338,12 +373,16 @@
         record.tasks[position].state = TaskState::Placed(id.clone());
         let step = record.step(task.step);
         let (reserved, need): (Resources, Resources) = (step.reserved(), step.need);
+        let image = step.image.clone();
         let team = record.submission.team.clone();
         let age_ms = now.wall_ms().saturating_sub(record.submission.received_ms);
         let worker = self.workers.get_mut(&id).expect("it was chosen");
         let free_cpu = worker.listed.capacity.remaining_after(&worker.used).cpu;
         let key = RunKey { task: task.clone(), run };
-        let intended = Run::new(RunPhase::Intended, team.clone(), reserved, need, now.mono);
+        let intended = Run {
+            image,
+            ..Run::new(RunPhase::Intended, team.clone(), reserved, need, now.mono)
+        };
         self.candidates.remove(worker);
         worker.add(key.clone(), intended);
         self.candidates.insert_again(now.mono, worker);
--- a/lib/src/recovery.rs
+++ b/lib/src/recovery.rs
@@ -133,6 +133,7 @@
         Run {
             // The earlier owner may have slowed it down.
             speed_percent: None,
+            image: step.image.clone(),
             ..Run::new(RunPhase::Inherited, team, step.reserved(), step.need, self.acquired_at)
         }
     }
--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use crate::id::{InstanceId, PoolId, RackId, TeamId, ZoneId};
+use crate::interference::Image;
 use crate::job_record::{JobKey, TaskKey};
 use crate::order::ContactId;
 use crate::resources::Resources;
@@ -79,6 +80,15 @@
     Stopping,
 }
 
+/// Progress of a run at a time on its worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct ProgressReport {
+    /// Time on the worker's clock, milliseconds.
+    pub clock_ms: u64,
+    /// Progress in percent.
+    pub percent: u32,
+}
+
 /// A run that may be taking place on a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -90,6 +100,12 @@
     pub reserved: Resources,
     /// What the run counts against the team's cap.
     pub need: Resources,
+    /// Image of the task; empty if it is not known.
+    pub image: Image,
+    /// Report up to which the cost of the run was observed; `None` before the first.
+    pub observed_until: Option<ProgressReport>,
+    /// Known slowdown by the latest neighbors.
+    pub neighbor_slowdown: f64,
     /// Time on the worker's clock at which a run from the start of its task began, milliseconds;
     /// zero if that is not known.
     pub started_ms: u64,
@@ -284,6 +300,7 @@
         for run in self.runs.values_mut() {
             // These are times on the clock of the earlier incarnation.
             run.started_ms = 0;
+            run.observed_until = None;
             run.last_seen_ms = 0;
             run.order_expires_ms = orders_void_ms;
         }
@@ -435,6 +452,9 @@
             team,
             reserved,
             need,
+            image: Image::default(),
+            observed_until: None,
+            neighbor_slowdown: 1.0,
             started_ms: 0,
             last_seen_ms: 0,
             order_expires_ms: 0,
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -52,6 +52,7 @@
                 why: "rows of its status cannot be read",
             });
         }
+        self.observe_neighbors(now, id, &status);
         let lists_all_ends = status.ended.len() < ENDS_PAGE_SIZE;
         let lists_all_runs = lists_all_ends && !status.has_unreadable_rows;
         let mut listed = HashSet::new();
