--- a/lib/src/interference.rs
+++ b/lib/src/interference.rs
@@ -218,7 +218,7 @@
         let Some((neighbor, effect)) = largest else {
             break;
         };
-        // Images that are often beside that one do no harm for that reason alone.
+        // Images that are often beside that one would seem to have its effect.
         observations.retain(|it| !it.neighbors.contains(&neighbor) && !it.passing.contains(&neighbor));
         found.push((neighbor, effect));
     }
@@ -238,14 +238,14 @@
             *sum = (sum.0 + cost, sum.1 + 1.0);
         }
     }
-    let is_dearer = |with: Sum| {
+    let costs_more = |with: Sum| {
         let without = mean((total.0 - with.0, total.1 - with.1));
         mean(with)
             .zip(without)
             .is_some_and(|(with, without)| MIN_SLOWDOWN.ln() / 2.0 <= with - without)
     };
-    let dearer = sums.into_iter().filter(|(_, it)| MIN_WORKERS as f64 <= it.1 && is_dearer(*it));
-    let mut images: Vec<&Image> = dearer.map(|(it, _)| it).collect();
+    let costly = sums.into_iter().filter(|(_, it)| MIN_WORKERS as f64 <= it.1 && costs_more(*it));
+    let mut images: Vec<&Image> = costly.map(|(it, _)| it).collect();
     images.sort();
     images
 }
--- a/lib/src/neighbors.rs
+++ b/lib/src/neighbors.rs
@@ -154,14 +154,14 @@
     /// them.
     pub(crate) fn is_apart(&self, worker: &Worker, image: &Image) -> bool {
         let interference = &self.learned.interference;
-        let disturbs = |other: &Image| 1.0 < interference.slowdown(image, other).max(interference.slowdown(other, image));
+        let interferes = |other: &Image| 1.0 < interference.slowdown(image, other).max(interference.slowdown(other, image));
         let mut images: SmallVec<[&Image; 8]> = SmallVec::new();
         for run in worker.runs.values().filter(|it| !it.image.is_empty()) {
             if !images.contains(&&run.image) {
                 images.push(&run.image);
             }
         }
-        !images.into_iter().any(disturbs)
+        !images.into_iter().any(interferes)
     }
 }
 
--- a/lib/tests/test_interference.rs
+++ b/lib/tests/test_interference.rs
@@ -77,15 +77,15 @@
 #[test]
 fn interference_that_ends_is_forgotten_and_found_again() {
     let mut world = World::new(3);
-    let disturbed = |image: &str, other: &str, _| if (image, other) == ("a", "b") { 2.0 } else { 1.0 };
-    world.run(10, &["a", "b", "c"], disturbed);
+    let interfering = |image: &str, other: &str, _| if (image, other) == ("a", "b") { 2.0 } else { 1.0 };
+    world.run(10, &["a", "b", "c"], interfering);
     assert!(1.5 < world.slowdown("a", "b"));
     world.run(24, &["a", "b", "c"], |_, _, _| 1.0);
-    assert_eq!(world.slowdown("a", "b"), 1.0, "they meet and do not disturb each other");
-    world.run(24, &["a", "b", "c"], disturbed);
+    assert_eq!(world.slowdown("a", "b"), 1.0, "they run together and do not interfere");
+    world.run(24, &["a", "b", "c"], interfering);
     assert!(1.5 < world.slowdown("a", "b"));
-    world.run(24, &["c"], disturbed);
-    assert!(world.interference.is_empty(), "they have not met for over 20 s");
+    world.run(24, &["c"], interfering);
+    assert!(world.interference.is_empty(), "they have not run together for over 20 s");
 }
 
 #[test]
@@ -144,7 +144,7 @@
 }
 
 #[test]
-fn an_image_that_is_often_beside_a_disturbing_one_is_not_blamed() {
+fn an_image_that_is_often_beside_an_interfering_one_is_not_reported() {
     let mut interference = Interference::default();
     let now = Duration::from_secs(100);
     for round in 0..40 {
