placement: order of jobs by class, team share and size while a pool is short

`weight` is not used. A large task waits for as long as smaller ones fit into the room of each one that ends.

Cause: jobs that can be in time go by size alone, whatever their team uses, and a pass fills all room with what fits.

Change: while a pass finds no room for a task that an empty worker could run, the jobs of that pool are sorted by priority, whether they can be in time, whether they have begun, the level of their team's weighted dominant share (present use and mean over 10 s), and size; every 32nd started job of a team is its oldest one (modules job_order, team_share). A job that came first without room and was passed over by more than eight jobs is placed first, and a worker that will have room for it is kept free for up to 2 s (held_room; `room_held` in the decision log). A pool with room for all work is served as before.

--- a/fleet/src/actions.rs
+++ b/fleet/src/actions.rs
@@ -129,6 +129,7 @@
             }
             Decision::HeldElsewhere { .. } => "held_elsewhere",
             Decision::Closed { .. } => "closed",
+            Decision::RoomHeld { .. } => "room_held",
             Decision::Refused { .. } => "order_refused",
             Decision::Contact { .. } => "contact",
             Decision::Numbered { .. } => "numbered",
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -109,6 +109,14 @@
         /// Time that the queue's objective allows, milliseconds.
         objective_ms: u64,
     },
+    /// A worker gets no other tasks in a placement pass, as a job has been passed over too often
+    /// for lack of room.
+    RoomHeld {
+        /// Key of the job.
+        job: JobKey,
+        /// Worker that is kept free.
+        worker: InstanceId,
+    },
     /// A worker refused an order to start a run.
     Refused {
         /// Key of the job.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -47,6 +47,9 @@
 //! - [`quota`]: division of teams' caps among owners.
 //! - [`silent_worker`]: log records of workers that do not answer.
 //! - [`start_window`]: limit on the runs that an owner starts at the same time.
+//! - [`job_order`]: the order in which jobs that wait for a pool are placed.
+//! - [`team_share`]: what teams have used of a pool, relative to their weights.
+//! - [`held_room`]: room that is kept free for a task that does not fit.
 //! - [`quarantine`]: jobs whose records an owner cannot handle.
 //! - [`acceptance`]: routes of callers' requests to the log.
 //! - [`append_queue`]: requests that share an append to the log.
@@ -86,9 +89,11 @@
 pub mod fleet;
 pub mod forecast;
 pub mod health;
+pub mod held_room;
 pub mod id;
 pub mod inquiry;
 pub mod job;
+pub mod job_order;
 pub mod job_record;
 pub mod key;
 pub mod ledger;
@@ -127,10 +132,12 @@
 pub mod spec;
 pub mod start_window;
 pub mod state;
+pub mod team_share;
 pub mod tenure;
 mod throttle;
 pub mod time_limits;
 pub mod tree;
+mod waiting;
 pub mod wave;
 pub mod wire;
 pub mod worker;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -1,6 +1,6 @@
 //! Assigns waiting tasks to workers.
 //!
-//! Jobs are visited in order of urgency. A task is placed on a worker of its pool
+//! Jobs are visited in the order of [`job_order`](crate::job_order). A task is placed on a worker of its pool
 //! that has room and meets its constraints, within the limit of its team; the
 //! start order is sent once the placement is in the log.
 
@@ -24,24 +24,6 @@
 /// passes, so that a step that gets no answer does not keep the next ones from asking.
 const MAX_ADVICE_CALLS: usize = 32;
 
-/// Fraction of the objective that must remain as slack beyond the estimated run time.
-/// The half of the estimates with the smaller errors is off by this much on average.
-const MIN_SLACK_FRACTION: f64 = 0.05;
-
-/// Urgency of a job; earlier variants are placed first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Urgency {
-    /// Has a long-running step and no objective to meet.
-    LongRunning,
-    /// Can still meet its objective.
-    InTime,
-    /// Can no longer meet its objective, but may end within three times that time, which is
-    /// still of use to callers.
-    Late,
-    /// Will take longer than that.
-    Overdue,
-}
-
 /// Jobs of a pool or a team that a pass could not place completely.
 #[derive(Clone, Copy, Debug, Default)]
 struct Blocked {
@@ -83,10 +65,13 @@
         if now.mono < self.placement_resumes_at {
             return;
         }
+        self.count_usage(now);
+        let waiting = self.jobs_in_order(now);
         let open_jobs = &self.open_jobs;
         self.searches.begin_pass(|it| open_jobs.contains(it));
-        let waiting = self.jobs_by_urgency(now);
+        self.demands.values_mut().for_each(|it| it.is_short = false);
         let mut pass = Pass::default();
+        self.place_passed_over_jobs(now, &waiting, |owner, id| owner.place_job(now, &mut pass, id));
         for id in &waiting {
             let submission = &self.jobs[id].record.submission;
             let is_exhausted = |it: Option<&Blocked>| it.is_some_and(|it| it.is_exhausted);
@@ -135,45 +120,11 @@
         floors
     }
 
-    /// Returns the open jobs that have waiting tasks, most urgent first.
-    fn jobs_by_urgency(&self, now: Now) -> Vec<JobKey> {
-        let now_ms = now.wall_ms();
-        let mut jobs: Vec<(Urgency, u32, bool, i64, &JobKey)> = Vec::new();
-        for id in &self.open_jobs {
-            let record = &self.jobs[id].record;
-            if !record.tasks.iter().any(|it| it.state == TaskState::Waiting) {
-                continue;
-            }
-            let priority = self.queue_of(record).map_or(u32::MAX, |it| it.priority);
-            let objective = signed_ms(self.objective_ms(record));
-            let age_from_ms = match record.spec().is_scheduled() {
-                true => record.spec().start_at_ms.max(record.submission.received_ms),
-                false => record.submission.received_ms,
-            };
-            let age = signed_ms(now_ms) - signed_ms(age_from_ms);
-            let remaining = signed_ms(remaining_ms(record));
-            let slack = objective - age - remaining;
-            let urgency = match () {
-                () if record.spec().is_long_running() => Urgency::LongRunning,
-                () if MIN_SLACK_FRACTION * objective as f64 <= slack as f64 => Urgency::InTime,
-                () if age + remaining <= 3 * objective => Urgency::Late,
-                () => Urgency::Overdue,
-            };
-            // While there is more work than room, placing small jobs first meets most objectives.
-            let rank = match urgency {
-                Urgency::InTime => (record.spec().estimated_work() / 1_000_000) as i64,
-                _ => slack,
-            };
-            jobs.push((urgency, priority, record.has_no_placements(), rank, id));
-        }
-        jobs.sort();
-        jobs.into_iter().map(|(_, _, _, _, id)| id.clone()).collect()
-    }
-
     /// Places the tasks of a job that are ready. Returns whether all of them were placed, as far as
     /// they may be started now.
     fn place_job(&mut self, now: Now, pass: &mut Pass, id: &JobKey) -> bool {
         let spec = self.jobs[id].record.submission.spec.clone();
+        let placed_before = self.pending_starts.len();
         let mut is_complete = true;
         for turn in 0..spec.occurrences() {
             for (step_index, step) in spec.steps.iter().enumerate() {
@@ -213,6 +164,11 @@
         if is_complete {
             self.searches.forget(id);
         }
+        let pool = &self.jobs[id].record.submission.pool;
+        let has_placed = placed_before < self.pending_starts.len();
+        if let Some(demand) = self.demands.get_mut(pool).filter(|_| is_complete && has_placed) {
+            demand.held_room.job_placed(id);
+        }
         is_complete
     }
 
@@ -252,6 +208,13 @@
         let visited = self.candidates.with_free_cpu(pool, step.reserved().cpu).count();
         if visited == 0 && chosen == 0 || step.spread == 0 && chosen == 0 && !self.needs_advice(task) {
             self.searches.add_failed_need(pool, step);
+            let could_have_room = self.suitable_workers(now, pool, step).next().is_some();
+            if let Some(demand) = self.demands.get_mut(pool).filter(|_| could_have_room) {
+                let is_first = !std::mem::replace(&mut demand.is_short, true);
+                if is_first && !step.gang {
+                    demand.held_room.job_blocked(&task.job);
+                }
+            }
         } else {
             self.searches.add_failure(&task.job, (chosen + 1) * visited);
         }
@@ -392,6 +355,7 @@
     fn assign(&mut self, now: Now, task: &TaskKey, id: InstanceId, run: u32) {
         let tracked = self.jobs.get_mut(&task.job).expect("the caller looked it up");
         let record = &mut tracked.record;
+        let is_first = record.has_no_placements();
         let position = record.position(task).expect("the caller looked it up");
         record.tasks[position].run = run;
         record.tasks[position].state = TaskState::Placed(id.clone());
@@ -403,6 +367,12 @@
         let free_cpu = worker.listed.capacity.remaining_after(&worker.used).cpu;
         let key = RunKey { task: task.clone(), run };
         let intended = Run::new(RunPhase::Intended, team.clone(), reserved, need, now.mono);
+        if let Some(demand) = self.demands.get_mut(&worker.listed.pool) {
+            if is_first {
+                demand.shortage.job_started(&team);
+            }
+            demand.shortage.shares.add(&team, reserved.dominant_share(&demand.capacity));
+        }
         self.candidates.remove(worker);
         worker.add(key.clone(), intended);
         self.candidates.insert(worker);
@@ -429,21 +399,3 @@
         None => _ = floors.insert(name.clone(), *need),
     }
 }
-
-/// Converts a time, milliseconds. Sums of a few results stay within the range.
-fn signed_ms(ms: u64) -> i64 {
-    ms.min(1 << 60) as i64
-}
-
-/// Returns the estimated time until a job ends if all its tasks had room at once, milliseconds.
-/// Only the first occurrence is counted.
-fn remaining_ms(record: &JobRecord) -> u64 {
-    let spec = record.spec();
-    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for (index, step) in spec.steps.iter().enumerate() {
-        let start = step.after.iter().map(|it| ends[usize::from(*it)]).max().unwrap_or(0);
-        let remaining = if record.is_step_done(0, index) { 0 } else { step.estimate_ms };
-        ends.push(start.saturating_add(remaining));
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -26,6 +26,7 @@
 use crate::resources::Resources;
 use crate::start_window::Window;
 use crate::time_limits::TimeLimits;
+use crate::waiting::Demand;
 use crate::worker::{Run, RunKey, RunPhase, Worker};
 use crate::worker_search::Searches;
 
@@ -85,6 +86,10 @@
     pub(crate) workers: HashMap<InstanceId, Worker>,
     /// Workers for the tasks of the current placement pass.
     pub(crate) candidates: Candidates,
+    /// Demand for each pool that has workers.
+    pub(crate) demands: HashMap<PoolId, Demand>,
+    /// When the usage of pools by teams was last counted.
+    pub(crate) usage_counted_at: Option<Duration>,
     /// Searches for workers that failed.
     pub(crate) searches: Searches,
     /// Resources that each team's runs may be using, counted against its cap.
@@ -155,6 +160,8 @@
             open_jobs: BTreeSet::new(),
             workers: HashMap::new(),
             candidates: Candidates::default(),
+            demands: HashMap::new(),
+            usage_counted_at: None,
             searches: Searches::default(),
             usage: HashMap::new(),
             grants: HashMap::new(),
--- a/lib/tests/test_blocked_jobs.rs
+++ b/lib/tests/test_blocked_jobs.rs
@@ -99,6 +99,35 @@
     }
 }
 
+#[test]
+fn tasks_that_need_the_room_of_long_running_ones_do_not_hold_up_other_jobs() {
+    // No room is kept free for a task that would get none by it, least of all the only worker's.
+    for (workers, blocked, cpu) in [(1, 34, 1000), (1, 34, 5000), (7, 1000, 5000)] {
+        let mut fixture = fixture(workers);
+        let mut running = lasting(workers as u32);
+        running.spread = 1;
+        running.need.cpu = cpu;
+        fixture.add_request("running", submit("", vec![running]));
+        advance_and_confirm(&mut fixture, 200);
+        let started = started_beside(&mut fixture, blocked, |_| {
+            let mut large = lasting(1);
+            large.need.cpu = 7500;
+            submit("", vec![large])
+        });
+        assert_eq!(started, 10, "beside {blocked} jobs on {workers} workers");
+        let before = fixture.starts.len();
+        for index in 0..10 {
+            fixture.add_request(&format!("later{index}"), submit("", vec![step(1, 100)]));
+        }
+        advance_and_confirm(&mut fixture, 200);
+        assert_eq!(
+            fixture.starts.len() - before,
+            10,
+            "later beside {blocked} jobs on {workers} workers"
+        );
+    }
+}
+
 #[test]
 fn gangs_without_room_do_not_hold_up_other_jobs() {
     for blocked in [34, 1000] {
