--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -48,6 +48,9 @@
 //! - [`commit_size`]: limits on the size of an owner's commits.
 //! - [`silent_worker`]: log records of workers that do not answer.
 //! - [`start_window`]: limit on the runs that an owner starts at the same time.
+//! - [`job_order`]: the order in which jobs that wait for a pool are placed.
+//! - [`team_share`]: what teams have used of a pool, relative to their weights.
+//! - [`held_room`]: room that is kept free for a task that does not fit.
 //! - [`quarantine`]: jobs whose records an owner cannot handle.
 //! - [`acceptance`]: routes of callers' requests to the log.
 //! - [`append_queue`]: requests that share an append to the log.
@@ -100,10 +103,12 @@
 pub mod fleet;
 pub mod forecast;
 pub mod health;
+pub mod held_room;
 pub mod id;
 pub mod inquiry;
 pub mod interference;
 pub mod job;
+pub mod job_order;
 pub mod job_record;
 pub mod key;
 mod late_work;
@@ -149,10 +154,12 @@
 pub mod spec;
 pub mod start_window;
 pub mod state;
+pub mod team_share;
 pub mod tenure;
 mod throttle;
 pub mod time_limits;
 pub mod tree;
+mod waiting;
 pub mod wave;
 pub mod wire;
 pub mod worker;
