placement: keep the order of a short pool while the start window is full

Cause: a pass that ends because the start window is full has not found out whether the rest of the work has room, but the next pass took the pool for one with room and sorted by urgency alone.

--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -69,7 +69,10 @@
         let waiting = self.jobs_in_order(now);
         let open_jobs = &self.open_jobs;
         self.searches.begin_pass(|it| open_jobs.contains(it));
-        self.demands.values_mut().for_each(|it| it.is_short = false);
+        let demands = self.demands.iter_mut();
+        let was_short: Vec<PoolId> = demands
+            .filter_map(|(pool, it)| std::mem::take(&mut it.is_short).then(|| pool.clone()))
+            .collect();
         let mut pass = Pass::default();
         self.place_passed_over_jobs(now, &waiting, |owner, id| owner.place_job(now, &mut pass, id));
         for id in &waiting {
@@ -79,6 +82,10 @@
                 continue;
             }
             if self.start_window.is_full() {
+                // The pass does not tell whether the rest has room.
+                for pool in was_short {
+                    self.demands.entry(pool).or_default().is_short = true;
+                }
                 return;
             }
             if !self.place_job(now, &mut pass, id) {
