client_budget: new and idle connections are kept while others are read

Change: a head has 0.1 s before its connection may be closed for another one, the listeners let a new connection be read before they accept the next, and idle connections are closed for new ones only while no request is being read. Readiness and metrics have two of 32 connections reserved, as their connections are kept longer.

--- a/fleet/src/server.rs
+++ b/fleet/src/server.rs
@@ -39,6 +39,9 @@
         // data.
         let _ = stream.set_nodelay(true);
         tokio::spawn(serve(stream, node.clone(), endpoint, Arc::new(connection)));
+        // The request that has arrived with the connection is read before the next connection takes
+        // its place.
+        tokio::task::yield_now().await;
     }
 }
 
--- a/lib/src/client_budget.rs
+++ b/lib/src/client_budget.rs
@@ -8,7 +8,7 @@
 //! closed, the one with the least progress first; small requests, calls between instances and
 //! readiness checks have reserves that others cannot use.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -132,6 +132,8 @@
 pub struct ClientBudget {
     limits: Limits,
     connections: BTreeMap<ConnectionId, Connection>,
+    /// Connections whose request waits for memory.
+    waiting: BTreeSet<ConnectionId>,
     counts: [usize; LISTENERS],
     callers: Share,
     peers: Share,
@@ -208,6 +210,7 @@
         ClientBudget {
             limits,
             connections: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             counts: [0; LISTENERS],
             callers: Share::new(limits.caller_bytes),
             peers: Share::new(limits.peer_bytes),
@@ -222,7 +225,7 @@
         let share = |part: usize| (self.limits.connections * part / 32).max(2);
         match listener {
             Listener::Callers | Listener::Peers => share(12),
-            Listener::Readiness | Listener::Metrics => share(1),
+            Listener::Readiness | Listener::Metrics => share(2),
         }
     }
 
@@ -247,6 +250,8 @@
     }
 
     /// Chooses the connection to close for a new one of a listener, unless one is being closed.
+    /// Idle connections belong to ordinary callers, so they are closed only while no request that
+    /// is being read could end instead.
     fn close_for_connection(&mut self, now: Duration, listener: Listener) -> Option<ConnectionId> {
         let exceeds = Listener::ALL.map(|it| self.reserve(it) < self.count(it));
         let body_rate = self.limits.body_rate;
@@ -254,10 +259,12 @@
         if self.connections.values().any(|it| it.closing.is_some() && competes(it)) {
             return None;
         }
-        let candidates = self
-            .connections
-            .iter_mut()
-            .filter(|(_, it)| competes(it) && it.is_spare(now, body_rate));
+        let is_reading = self.connections.values().any(|it| competes(it) && it.is_incomplete());
+        let may_close = |it: &Connection| match is_reading {
+            true => it.is_stalled(now, body_rate),
+            false => it.is_unused(now),
+        };
+        let candidates = self.connections.iter_mut().filter(|(_, it)| competes(it) && may_close(it));
         let (id, connection) = candidates.min_by_key(|(_, it)| it.rank(now))?;
         connection.closing = Some(Reason::Connections);
         Some(*id)
@@ -287,6 +294,7 @@
                 connection.charged += bytes;
                 if connection.waiting_since.take().is_some() {
                     connection.read_again(now);
+                    self.waiting.remove(&id);
                 }
             }
             return Charge::Granted;
@@ -296,6 +304,7 @@
         }
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.waiting_since.get_or_insert(now);
+            self.waiting.insert(id);
         }
         Charge::Wait(self.close_for_memory(now, id, listener, shortage, of_large))
     }
@@ -371,6 +380,7 @@
             return;
         };
         connection.waiting_since = None;
+        self.waiting.remove(&id);
         let (listener, charged) = (connection.listener, std::mem::take(&mut connection.charged));
         self.share(listener).change(charged, 0);
     }
--- a/lib/src/client_connection.rs
+++ b/lib/src/client_connection.rs
@@ -11,6 +11,10 @@
 /// Period over which a body has to arrive at the minimum rate. It is longer than the 3 s for which
 /// callers wait.
 const RATE_PERIOD: Duration = Duration::from_secs(5);
+/// Time for which a connection is kept for the head of a request while connections are short. The
+/// head of an ordinary request arrives in one piece right after the connection was opened, but has
+/// to be read first.
+const HEAD_GRACE: Duration = Duration::from_millis(100);
 /// Time after which a connection without a request may be closed for another one.
 const SPARE_IDLE_TIME: Duration = Duration::from_secs(10);
 /// Memory up to which a request counts as small. An ordinary submission has a payload of up to
@@ -151,17 +155,25 @@
         is_read && self.read_since + PROGRESS_PERIOD <= now && self.recent_bytes(now) < required
     }
 
-    /// Returns whether the connection may be closed for a new one. The head of an ordinary request
-    /// arrives in one piece, soon after the connection was opened.
-    pub(crate) fn is_spare(&self, now: Duration, body_rate: u64) -> bool {
+    /// Whether a request is expected or being read.
+    pub(crate) fn is_incomplete(&self) -> bool {
+        matches!(self.phase, Phase::New | Phase::Head | Phase::Body)
+    }
+
+    /// Returns whether the connection may be closed for a new one as its request does not progress.
+    pub(crate) fn is_stalled(&self, now: Duration, body_rate: u64) -> bool {
         match self.phase {
-            Phase::New | Phase::Head => true,
+            Phase::New | Phase::Head => self.since + HEAD_GRACE <= now,
             Phase::Body => self.is_slow_body(now, body_rate),
-            Phase::Handled => false,
-            Phase::Idle => self.since + SPARE_IDLE_TIME <= now,
+            Phase::Handled | Phase::Idle => false,
         }
     }
 
+    /// Returns whether the connection may be closed for a new one as it is not used.
+    pub(crate) fn is_unused(&self, now: Duration) -> bool {
+        self.phase == Phase::Idle && self.since + SPARE_IDLE_TIME <= now
+    }
+
     /// Returns the time limit that the connection has exceeded.
     pub(crate) fn exceeded(&self, now: Duration, limits: &Limits) -> Option<Reason> {
         let has_passed = |since: Duration, time: Duration| since + time <= now;
@@ -221,9 +233,7 @@
     }
 
     /// Orders connections by their progress, the least first.
-    pub(crate) fn rank(&self, now: Duration) -> (bool, u64, Reverse<Duration>) {
-        // Connections without a request cost least, so they are closed after the others.
-        let is_idle = self.phase == Phase::Idle;
-        (is_idle, self.recent_bytes(now), Reverse(now.saturating_sub(self.since)))
+    pub(crate) fn rank(&self, now: Duration) -> (u64, Reverse<Duration>) {
+        (self.recent_bytes(now), Reverse(now.saturating_sub(self.since)))
     }
 }
