--- a/lib/tests/pool_world/faults.rs
+++ b/lib/tests/pool_world/faults.rs
@@ -1,11 +1,26 @@
 //! Faults of the simulation.
 
+use oriolewall::commit_size::CommitLimits;
 use oriolewall::id::InstanceId;
 use oriolewall::order::Action;
 use oriolewall::scheduler::Scheduler;
 use rand::RngExt;
 
-use super::{Call, Message, PausedOwner, Simulation, WORKERS, time_limits};
+use super::{Call, Faults, Message, PausedOwner, Simulation, WORKERS, time_limits};
+
+/// Limit of a commit in [`Faults::SplitCommits`], bytes: a job's record has 130 to 250.
+const SMALL_CALL_BYTES: usize = 300;
+
+impl Faults {
+    /// Limits of the log on commits.
+    pub(super) fn commit_limits(self) -> CommitLimits {
+        let mut limits = CommitLimits::default();
+        if self == Faults::SplitCommits {
+            limits.call_bytes = SMALL_CALL_BYTES;
+        }
+        limits
+    }
+}
 
 impl Simulation {
     /// May replace the owner, silence a worker, or restart a worker as a new incarnation.
--- a/lib/tests/pool_world/mod.rs
+++ b/lib/tests/pool_world/mod.rs
@@ -63,9 +63,6 @@
     SplitCommits,
 }
 
-/// Limit of a commit in [`Faults::SplitCommits`], bytes: a job's record has 130 to 250.
-const SMALL_CALL_BYTES: usize = 300;
-
 /// A worker that behaves as the platform guarantees. Its own clock, which starts with the
 /// incarnation, applies to `lease_until_ms`; the other times are those of the simulation.
 struct SimulatedWorker {
@@ -203,13 +200,7 @@
         let mut simulation = Simulation {
             rng: StdRng::seed_from_u64(seed),
             extended_rng: (faults == Faults::Extended).then(|| StdRng::seed_from_u64(seed)),
-            commit_limits: CommitLimits {
-                call_bytes: match faults {
-                    Faults::SplitCommits => SMALL_CALL_BYTES,
-                    _ => CommitLimits::default().call_bytes,
-                },
-                ..CommitLimits::default()
-            },
+            commit_limits: faults.commit_limits(),
             token_rng: (faults == Faults::MixedTokens).then(|| StdRng::seed_from_u64(seed)),
             paused_owners: Vec::new(),
             now_ms: 0,
