--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -188,7 +188,7 @@
     ),
     client_spec(
         "idle_ms",
-        "600000",
+        "86400000",
         10_000,
         86_400_000,
         "time after which a connection without requests is closed, milliseconds",
--- a/lib/src/client_budget.rs
+++ b/lib/src/client_budget.rs
@@ -168,7 +168,7 @@
             body_time: Duration::from_secs(15),
             body_rate: 8192,
             response_time: Duration::from_secs(10),
-            idle_time: Duration::from_secs(600),
+            idle_time: Duration::from_secs(86_400),
         }
     }
 }
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -61,7 +61,8 @@
     pub advice_requests: Vec<(StepKey, Vec<InstanceId>)>,
     /// Bytes of each commit.
     pub commit_sizes: Vec<usize>,
-    commit_limits: CommitLimits,
+    /// Limits of the log that each owner gets.
+    pub commit_limits: CommitLimits,
     /// Number of commits of all owners.
     pub commits: usize,
     /// Whether the log takes and confirms commits.
