maintenance: long-running tasks are not moved to workers that the wave reaches later

Change: the coordinator tells the owners once a second which workers are still to be emptied; long-running tasks prefer others. wave_progress in the decision log says each second how many are left. What stays: owners and coordinators that change, and partitioned workers whose tasks count as away, during the wave.

--- a/fleet/src/maintenance.rs
+++ b/fleet/src/maintenance.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use oriole_platform::log::{Entry, ReadResult, STATUS};
@@ -23,6 +24,8 @@
 /// Fraction of a wave's duration in which all its instances should be started. The
 /// rest is reserve for workers that empty slowly and for changes of the coordinator.
 const TARGET_DURATION_FRACTION: f64 = 0.6;
+/// Time between two announcements of a wave's maintenance to the owners of its workers.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Progress of all waves, as known to the current coordinator.
 #[derive(Debug, Default)]
@@ -44,6 +47,8 @@
     started: HashSet<Arc<str>>,
     /// State last reported to operators; `None` if this coordinator has not reported any.
     reported_state: Option<&'static str>,
+    /// Monotonic time of the last announcement to the owners; zero before the first.
+    announced_at: Duration,
 }
 
 impl MaintenanceWaves {
@@ -128,6 +133,7 @@
         // An instance of the wave that is not listed is gone, unless its entry cannot be read.
         let is_listed = |it: &Arc<str>| machines_by_name.contains_key(&**it);
         let all_known = self.all_machines.unreadable == 0 || wave.instances.iter().all(|it| progress.started.contains(it) || is_listed(it));
+        self.announce(progress, &pending).await;
         let mut ready: Vec<(&Arc<str>, &Machine)> = pending
             .into_iter()
             .filter(|(_, it)| it.state == State::Up && session.may_order(&it.name))
@@ -194,6 +200,39 @@
         vacating.into_iter().collect()
     }
 
+    /// Tells the owners of the workers whose maintenance has not started, so that they do not move
+    /// long-running tasks to them. Writes how far the wave is, as an early sign of one that will
+    /// be late.
+    async fn announce(&self, progress: &mut WaveProgress, pending: &[(&Arc<str>, &Machine)]) {
+        let now = clock::now();
+        if pending.is_empty() || progress.announced_at != Duration::ZERO && now.mono < progress.announced_at + ANNOUNCE_INTERVAL {
+            return;
+        }
+        progress.announced_at = now.mono;
+        let mut by_part: HashMap<PartitionId, Vec<InstanceId>> = HashMap::new();
+        for (_, machine) in pending {
+            let workers = by_part.entry(self.node.partition_of(&machine.pool)).or_default();
+            workers.extend(machine.worker.clone());
+        }
+        self.node.decision_log.write(
+            "wave_progress",
+            json!({
+                "wave": self.wave_number,
+                "started": progress.started.len(),
+                "left": pending.len(),
+                "emptying": self.previously_vacating.len(),
+                "age_ms": now.wall_ms().saturating_sub(progress.first_seen_ms),
+            }),
+        );
+        let mut calls = JoinSet::new();
+        for (part, workers) in by_part {
+            let node = self.node.clone();
+            // An owner that does not answer moves tasks as it would without the announcement.
+            calls.spawn(async move { peer::call(&node, part, Call::ExpectMaintenance { part, workers }).await });
+        }
+        calls.join_all().await;
+    }
+
     /// Returns how many instances of each pool may be chosen in one round: a third of those
     /// in service, rounded up.
     fn max_chosen_per_round(&self) -> HashMap<&PoolId, usize> {
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -109,6 +109,8 @@
     /// Request to keep new work away from workers. With the flag those on which tasks run
     /// also get no new ones; without it they stay in service.
     VacateRequest(Vec<InstanceId>, bool, oneshot::Sender<Reply>),
+    /// These workers will be emptied for maintenance.
+    MaintenanceExpected(Vec<InstanceId>, oneshot::Sender<Reply>),
 }
 
 /// State of the event loop of one owned partition.
@@ -293,6 +295,10 @@
             Event::HandedOn(id) => self.scheduler.hand_on_finished(&id),
             Event::PendingQuery(queue, reply) => send_reply(reply, Reply::Pending(self.scheduler.queued_jobs(&queue))),
             Event::LoadsQuery(reply) => send_reply(reply, Reply::Loads(self.scheduler.finite_task_cpu())),
+            Event::MaintenanceExpected(workers, reply) => {
+                self.scheduler.expect_maintenance(now, workers);
+                send_reply(reply, Reply::Done);
+            }
             Event::VacateRequest(ids, wait, reply) => {
                 let until = now.mono + VACATE_DURATION;
                 let vacant = ids.iter().map(|id| self.scheduler.vacate(now, id, until, wait)).collect();
--- a/fleet/src/peer.rs
+++ b/fleet/src/peer.rs
@@ -84,6 +84,7 @@
         Call::Inquire { part, version, jobs } => call_local(node, part, |reply| Event::HoldingsQuery(version, jobs, reply)).await,
         Call::Pending { part, queue } => call_local(node, part, |reply| Event::PendingQuery(queue, reply)).await,
         Call::Vacate { part, workers, wait } => call_local(node, part, |reply| Event::VacateRequest(workers, wait, reply)).await,
+        Call::ExpectMaintenance { part, workers } => call_local(node, part, |reply| Event::MaintenanceExpected(workers, reply)).await,
         Call::Loads { part } => call_local(node, part, Event::LoadsQuery).await,
         Call::AppendRecords { part, records } => request_log::handle_append(node, part, records).await,
         Call::Store {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -56,6 +56,7 @@
 //! - [`append_queue`]: requests that share an append to the log.
 //! - [`resend`]: when a call to the log is sent again.
 //! - [`forecast`]: work that will arrive for a pool.
+//! - [`expected_maintenance`]: workers that will be emptied for maintenance soon.
 //! - `late_work`: waiting work that can no longer meet its objective.
 //! - [`peak`]: detection of demand peaks of a pool.
 //! - [`demand_pattern`]: what is known of a pool's demand peaks.
@@ -100,6 +101,7 @@
 pub mod estimate;
 pub mod event;
 mod eviction;
+pub mod expected_maintenance;
 pub mod fleet;
 pub mod forecast;
 pub mod health;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -66,6 +66,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Suitability {
     is_trusted: bool,
+    /// Whether a long-running task could stay there.
+    is_lasting: bool,
     is_fast: bool,
     is_on_preferred_rack: bool,
     /// Whether no task on the worker is known to interfere with the task.
@@ -75,14 +77,15 @@
 impl Suitability {
     const BEST: Suitability = Suitability {
         is_trusted: true,
+        is_lasting: true,
         is_fast: true,
         is_on_preferred_rack: true,
         is_apart: true,
     };
 
     /// The part that does not depend on what was learned.
-    fn unlearned(&self) -> (bool, bool) {
-        (self.is_trusted, self.is_on_preferred_rack)
+    fn unlearned(&self) -> (bool, bool, bool) {
+        (self.is_trusted, self.is_lasting, self.is_on_preferred_rack)
     }
 }
 
@@ -364,6 +367,7 @@
             }
             let mut suitability = Suitability {
                 is_trusted: !worker.is_quarantined(now.mono),
+                is_lasting: !step.lasting || !self.expected_maintenance.contains(now.mono, &worker.listed.id),
                 is_fast: worker.speed.slowdown(now.mono).is_none_or(|it| it < slow_limit),
                 is_on_preferred_rack: rack.as_ref().is_none_or(|rack| worker.listed.rack == *rack),
                 is_apart: true,
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -66,6 +66,14 @@
         /// they stay in service.
         wait: bool,
     },
+    /// Tells an owner which workers will be emptied for maintenance. Earlier builds do not know this
+    /// call and refuse it, which does no harm.
+    ExpectMaintenance {
+        /// Partition of the workers' pools.
+        part: PartitionId,
+        /// The workers.
+        workers: Vec<InstanceId>,
+    },
     /// Queries the CPU reserved by finite tasks on the workers of a partition's pools.
     Loads {
         /// Partition whose workers are meant.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -18,6 +18,7 @@
 use crate::commit::Batch;
 use crate::commit_size::{CommitLimits, Remainder};
 use crate::decision::Decision;
+use crate::expected_maintenance::Expected;
 use crate::forecast::Forecast;
 use crate::id::{InstanceId, PoolId, TeamId};
 use crate::inquiry::{Inquiry, Question};
@@ -130,6 +131,8 @@
     pub(crate) last_cleanup: Duration,
     pub(crate) arrivals: HashMap<PoolId, Forecast>,
     pub(crate) advice: HashMap<StepKey, StepAdvice>,
+    /// Workers on which long-running tasks would not stay.
+    pub(crate) expected_maintenance: Expected,
     /// Run times and worker speeds that this owner has observed.
     pub(crate) learned: Learned,
     /// When all runs end on workers that an earlier owner recorded as silent.
@@ -189,6 +192,7 @@
             processed_cancels: Vec::new(),
             arrivals: HashMap::new(),
             advice: HashMap::new(),
+            expected_maintenance: Expected::default(),
             learned: Learned::default(),
             silent_until: HashMap::new(),
             inherited_runs: HashMap::new(),
