--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -40,6 +40,7 @@
 //! - [`pool_history`]: pools that queues have been assigned to.
 //! - [`inquiry`]: whether a job is new to all pools that its queue has used.
 //! - [`worker`]: what the owner of a pool knows about each worker.
+//! - [`run`]: runs that may be taking place on a worker.
 //! - [`scheduler`]: state machine of the owner of a pool.
 //! - [`order`]: actions of the owner of a pool, and what workers answer to its orders.
 //! - [`decision`]: decisions of the owner of a pool, written to the decision log.
@@ -145,6 +146,7 @@
 pub mod resend;
 pub mod resources;
 pub mod rpc;
+pub mod run;
 mod run_end;
 pub mod run_time;
 mod running_task;
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -8,9 +8,10 @@
 use crate::id::InstanceId;
 use crate::job_record::TaskState;
 use crate::order::{ActiveRun, ContactId, OrderOutcome, Refusal, RunOutcome, TokenForm, WorkerStatus};
+use crate::run::STALL_TIMEOUT;
 use crate::scheduler::{ENDS_PAGE_SIZE, MIN_STATUS_INTERVAL, PLACEMENT_PAUSE, START_EXPIRY, STATUS_RETRY, Scheduler};
 use crate::start_window::Answer;
-use crate::worker::{Run, RunKey, RunPhase, STALL_TIMEOUT};
+use crate::worker::{Run, RunKey, RunPhase};
 
 impl Scheduler {
     /// Handles a worker's status, given under a contact: ended runs first, then runs in progress,
