resend: answers that are known to be lost have a budget of their own

Change: once a later call was answered promptly, the answer is lost rather than slow and no queue is waiting, so a resend comes from a budget of one per call. The new test fails before.

--- a/fleet/src/log.rs
+++ b/fleet/src/log.rs
@@ -44,6 +44,8 @@
 struct Pacing {
     answer_times: AnswerTimes,
     budget: ResendBudget,
+    /// Budget of calls whose answer is known to be lost.
+    lost_budget: ResendBudget,
 }
 
 type Attempt<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
@@ -129,6 +131,7 @@
         let deadline = Instant::now() + timeout;
         let mut overdue_after = self.with_pacing(group, |it| {
             it.budget.record_call();
+            it.lost_budget.record_call();
             it.answer_times.overdue_after()
         });
         let mut last_sent = clock::now().mono;
@@ -146,7 +149,11 @@
                     }
                     overdue_after *= 2;
                     resend_at = Instant::now() + overdue_after;
-                    let is_allowed = self.with_pacing(group, |it| it.budget.take());
+                    let is_lost = self.prompt_answers().is_answered_since(last_sent);
+                    let is_allowed = self.with_pacing(group, |it| match is_lost {
+                        true => it.lost_budget.take(),
+                        false => it.budget.take(),
+                    });
                     self.resends.with_label_values(&[if is_allowed { "sent" } else { "denied" }]).inc();
                     if is_allowed {
                         last_sent = now;
@@ -186,6 +193,7 @@
         let new_pacing = || Pacing {
             answer_times: group.0.answer_times(),
             budget: group.0.budget(),
+            lost_budget: ResendBudget::of_lost_answers(),
         };
         action(pacing.entry(group).or_insert_with(new_pacing))
     }
--- a/lib/src/resend.rs
+++ b/lib/src/resend.rs
@@ -38,6 +38,9 @@
 /// Resends that each call adds to the budget. At a third of lost answers one call in two
 /// is sent again.
 const RESENDS_PER_CALL: f64 = 0.5;
+/// The same for a call whose answer is known to be lost, as a later call was answered promptly. The
+/// log is not slow then, so a resend meets no queue, and up to half of the answers may be lost.
+const LOST_RESENDS_PER_CALL: f64 = 1.0;
 /// Most resends that the budget of calls without a queue in the log holds.
 const MAX_RESENDS: f64 = 10.0;
 /// The same for appends to one partition. With 237 ms for each append of a slow log these occupy
@@ -95,10 +98,16 @@
         }
     }
 
+    /// Whether a call that was sent after `sent` was answered promptly, so that an answer to that
+    /// one is lost rather than slow.
+    pub fn is_answered_since(&self, sent: Duration) -> bool {
+        self.last_sent.is_some_and(|it| sent < it)
+    }
+
     /// Whether the answer to a call is lost: it was sent at this time and is overdue.
     pub fn is_lost(&self, now: Duration, sent: Duration, overdue_after: Duration) -> bool {
         let lost_after = (overdue_after * LOST_AFTER.0).max(LOST_AFTER.1);
-        sent + lost_after <= now || self.last_sent.is_some_and(|it| sent < it)
+        sent + lost_after <= now || self.is_answered_since(sent)
     }
 }
 
@@ -146,6 +155,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ResendBudget {
     available: f64,
+    per_call: f64,
     max: f64,
 }
 
@@ -153,6 +163,7 @@
     fn default() -> ResendBudget {
         ResendBudget {
             available: MAX_RESENDS,
+            per_call: RESENDS_PER_CALL,
             max: MAX_RESENDS,
         }
     }
@@ -163,13 +174,23 @@
     pub fn of_appends() -> ResendBudget {
         ResendBudget {
             available: MAX_APPEND_RESENDS,
+            per_call: RESENDS_PER_CALL,
             max: MAX_APPEND_RESENDS,
         }
     }
 
+    /// Budget of calls whose answers are known to be lost.
+    pub fn of_lost_answers() -> ResendBudget {
+        ResendBudget {
+            available: MAX_RESENDS,
+            per_call: LOST_RESENDS_PER_CALL,
+            max: MAX_RESENDS,
+        }
+    }
+
     /// Adds to the budget for one call.
     pub fn record_call(&mut self) {
-        self.available = (self.available + RESENDS_PER_CALL).min(self.max);
+        self.available = (self.available + self.per_call).min(self.max);
     }
 
     /// Takes one resend from the budget. Returns false if it is used up.
--- a/lib/tests/test_resend.rs
+++ b/lib/tests/test_resend.rs
@@ -69,3 +69,25 @@
     assert!(answers.is_lost(ms(220), ms(100), ms(120)), "a later call was answered promptly");
     assert!(PromptAnswers::default().is_lost(ms(1400), ms(100), ms(120)));
 }
+
+#[test]
+fn half_of_the_answers_may_be_lost_while_the_log_is_prompt() {
+    // Replays tazarine-sched-grown, lost-answers with seed 319573658570: the budget for a slow log was
+    // used up after a few lost answers, and requests ended with 504.
+    let mut answers = PromptAnswers::default();
+    answers.record(Duration::from_millis(150), Duration::from_millis(10));
+    assert!(answers.is_answered_since(Duration::from_millis(100)));
+    assert!(!answers.is_answered_since(Duration::from_millis(200)), "it may be slow");
+    let (mut lost, mut slow) = (ResendBudget::of_lost_answers(), ResendBudget::of_appends());
+    let mut denied = (0, 0);
+    for call in 0..40 {
+        lost.record_call();
+        slow.record_call();
+        for _ in 0..[0, 2][call % 2] {
+            denied.0 += usize::from(!lost.take());
+            denied.1 += usize::from(!slow.take());
+        }
+    }
+    assert_eq!(denied.0, 0);
+    assert!(0 < denied.1, "appends to a slow log stay limited");
+}
