balance: a new coordinator keeps idle instances until the demand is known

Cause: since a coordinator with a predecessor moved idle instances to standby without the delay of 5 s; after a power-off all instances are idle and the backlog is not known yet. Change: the delay begins anew with each coordinator, as before.

--- a/fleet/src/coordinator.rs
+++ b/fleet/src/coordinator.rs
@@ -232,15 +232,12 @@
         let epoch = owned.tenure.since();
         if active.as_ref().is_none_or(|it| it.session.fencing_token != epoch) {
             active = match CoordinatorSession::start(&node, epoch).await {
-                Ok((session, newest)) => {
-                    let has_predecessor = newest.entries.iter().any(|it| it.key == RECENT_ORDERS_KEY);
-                    Some(Active {
-                        session,
-                        planner: if has_predecessor { Planner::resume() } else { Planner::default() },
-                        peaks: Peaks::restore(&node, &newest),
-                        waves: MaintenanceWaves::restore(newest),
-                    })
-                }
+                Ok((session, newest)) => Some(Active {
+                    session,
+                    planner: Planner::default(),
+                    peaks: Peaks::restore(&node, &newest),
+                    waves: MaintenanceWaves::restore(newest),
+                }),
                 Err(err) => {
                     watch::report_log_error(&node, "duties", &err);
                     None
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -25,7 +25,8 @@
 /// Time after which an instance that a pool refused may be moved there again.
 const REFUSAL_RETRY: Duration = Duration::from_secs(30);
 /// Time after the first arriving job in which no instance is moved to a standby pool.
-/// The first shift of demand needs most instances at once.
+/// The first shift of demand needs most instances at once. The delay begins anew with each
+/// coordinator: after a power-off all instances are idle while the backlog is not known yet.
 const STANDBY_DELAY: Duration = Duration::from_secs(5);
 /// Time until the platform's list reflects a move. Until then the order is remembered.
 const MOVE_VISIBILITY_DELAY: Duration = Duration::from_millis(2500);
@@ -115,15 +116,6 @@
 }
 
 impl Planner {
-    /// Creates the planner of a coordinator that follows another one. Its predecessors have seen
-    /// the first shift of demand, so idle instances go to a standby pool without [`STANDBY_DELAY`].
-    pub fn resume() -> Planner {
-        Planner {
-            standby_from: Some(Duration::ZERO),
-            ..Planner::default()
-        }
-    }
-
     /// Returns the moves that the present demand calls for. `standby` lists the standby pools; the
     /// first of them receives idle instances.
     pub fn plan(&mut self, now: Duration, loads: &BTreeMap<PoolId, PoolLoad>, standby: &[PoolId], instances: &[Instance]) -> Vec<Move> {
--- a/lib/tests/test_balance.rs
+++ b/lib/tests/test_balance.rs
@@ -67,15 +67,17 @@
 }
 
 #[test]
-fn a_later_coordinator_moves_idle_instances_to_standby_without_the_first_delay() {
-    // Guards against surplus instances that stay in their pools for 5 s at each change of the
-    // coordinator.
+fn a_later_coordinator_keeps_idle_instances_until_the_demand_is_known() {
+    // Replays apmas-cellyard-large, trouble-3: after a power-off the next coordinator moved the idle
+    // instances to standby at once, and 629 jobs of the backlog found none in their pools.
     let instances: Vec<Instance> = (0..5).map(|it| instance(it, "pool")).collect();
     let standby = [PoolId::from("standby")];
     let idle = BTreeMap::from([(PoolId::from("pool"), load(0, 0, 1, &[0, 1, 2, 3, 4]))]);
-    let mut planner = Planner::resume();
-    assert!(planner.plan(at(1000), &idle, &standby, &instances).is_empty());
-    assert_eq!(planner.plan(at(1400), &idle, &standby, &instances).len(), 2);
+    let mut planner = Planner::default();
+    for ms in (20_000..24_900).step_by(200) {
+        assert!(planner.plan(at(ms), &idle, &standby, &instances).is_empty());
+    }
+    assert_eq!(planner.plan(at(25_100), &idle, &standby, &instances).len(), 2);
 }
 
 #[test]
