--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -4,6 +4,7 @@
 mod foreign_cancel;
 mod foreign_entry;
 mod gang_spread;
+mod heavy_bodies;
 mod large_bodies;
 mod lasting_gang;
 mod pending_after_move;
@@ -19,6 +20,7 @@
 
 pub fn find(name: &str) -> Option<Case> {
     Some(match name {
+        "heavy-bodies" => heavy_bodies::run,
         "large-bodies" => large_bodies::run,
         "divided-ceiling" => divided_ceiling::run,
         "unasked-runners" => unasked_runners::run,
