--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -273,6 +273,11 @@
         let instance = &self.instances[index];
         let open = fs::OpenOptions::new().create(true).append(true).open(&instance.log);
         let log = open.unwrap_or_else(|err| crate::cannot_run(&format!("cannot write a log: {err}")));
+        // Nothing starts once all have been ended.
+        let mut children = children();
+        if IS_OVER.load(Ordering::Relaxed) {
+            return;
+        }
         let child = Command::new("target/release/oriole-fleet")
             .arg("--config")
             .arg(&instance.settings)
@@ -283,7 +288,7 @@
         let child = child.unwrap_or_else(|err| crate::cannot_run(&format!("cannot start oriole-fleet: {err}")));
         self.record.note(format!("{}: started", instance.name));
         instance.pid.store(child.id(), Ordering::Relaxed);
-        children().push(child);
+        children.push(child);
     }
 
     pub fn await_ready(&self, index: usize) {
@@ -399,15 +404,20 @@
     }
 }
 
+/// Whether all processes have been ended.
+static IS_OVER: AtomicBool = AtomicBool::new(false);
+
 /// Processes that this one has started.
 fn children() -> MutexGuard<'static, Vec<Child>> {
     static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
     CHILDREN.lock().unwrap_or_else(|it| it.into_inner())
 }
 
-/// Ends all processes that this one has started.
+/// Ends all processes that this one has started, by their handles.
 pub fn end_all() {
-    for mut child in children().drain(..) {
+    let mut children = children();
+    IS_OVER.store(true, Ordering::Relaxed);
+    for mut child in children.drain(..) {
         let _ = child.kill();
         let _ = child.wait();
     }
