Review: a gang is given up after one failed run

Seen: a runner fails all that it starts. A gang of two tasks of which one run has failed is shown as failed, though its queue allows two, and never runs.

Cause: the failure of one member is counted for the others, which then count their own end of the same run.

--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::site::{SERVICES, Site};
@@ -13,6 +14,10 @@
 const ROUNDS: usize = 8;
 /// `contactMs` of the small deployments, seconds.
 const CONTACT: f64 = 3.0;
+/// `cancel_ms` of the small deployments, seconds.
+const CANCEL: f64 = 3.0;
+/// Failed runs after which a job fails by its queue.
+const MAX_ATTEMPTS: usize = 2;
 
 fn sleep_until(site: &Site, at: f64) {
     let left = at - site.record.now();
@@ -62,16 +67,7 @@
             site.machines[owner].name, site.machines[other].name
         ));
         if has_trouble {
-            // Half of the open connections of one machine of three, as for `reset_conns`.
-            let open = site.machines[owner].path.open();
-            let silenced = site.machines[owner]
-                .path
-                .silence(open / 2, &format!("topic=keyed.requests&part={part}&"));
-            site.record.line(&format!(
-                "{} of {open} connections of {} to the store go silent: {silenced:?}",
-                silenced.len(),
-                site.machines[owner].name
-            ));
+            silence_half(&site, owner, part);
         }
         let mut accepted = Vec::new();
         for number in 20..26 {
@@ -196,3 +192,99 @@
     }
     site.all_run().then_some(is_broken)
 }
+
+/// LOST: one runner fails all that it starts; a gang of which one run has failed is shown as failed,
+/// though its queue allows two.
+pub fn gang_failed(mut site: Site, has_trouble: bool) -> Option<bool> {
+    start_all(&mut site)?;
+    let mut is_broken = false;
+    for (round, service) in SERVICES.into_iter().enumerate() {
+        // One runner of nine has work, and takes more.
+        let first = id(100 * round);
+        site.submit(0, service, &first, 60_000)?;
+        std::thread::sleep(Duration::from_secs(1));
+        let runner = site.runners.iter().find(|it| it.runs(&first))?.clone();
+        if has_trouble {
+            runner.set_grey(true);
+        }
+        let job = id(100 * round + 1);
+        site.submit_steps(0, service, &job, 800, &["\"count\":2,\"gang\":true"])?;
+        std::thread::sleep(Duration::from_secs(4));
+        let answer = site.client(1, "GET", &format!("/{service}/{job}"), "");
+        let runs = site.record.runs(&job);
+        let failed: BTreeSet<u64> = runs.iter().filter(|it| it.how == Some("failed")).map(|it| it.attempt).collect();
+        site.record.line(&format!(
+            "client: GET /{service}/{job}: {answer:?}; failed runs of the gang: {failed:?}"
+        ));
+        is_broken |= answer.is_some_and(|(_, body)| body.contains("failed")) && failed.len() < MAX_ATTEMPTS;
+        if has_trouble {
+            runner.set_grey(false);
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    site.all_run().then_some(is_broken)
+}
+
+/// UNASKED: connections of one machine to the store go silent; in touch again, it starts tasks of
+/// jobs later than `cancel_ms` after their cancelling was acknowledged.
+pub fn silent_cancel(mut site: Site, has_trouble: bool) -> Option<bool> {
+    start_all(&mut site)?;
+    let mut is_broken = false;
+    for (round, service) in SERVICES.into_iter().enumerate() {
+        let first = id(100 * round);
+        site.submit(0, service, &first, 300)?;
+        let (owner, part) = owner_of(&site, &first)?;
+        let other = (owner + 1) % 3;
+        let jobs: Vec<String> = (1..6).map(|number| id(100 * round + number)).collect();
+        for (number, job) in jobs.iter().enumerate() {
+            // The first step ends some 3.2 s after the disruption.
+            let takes_ms = 4150 + 40 * number as u64;
+            site.submit_steps(other, service, job, takes_ms, &["\"count\":1", "\"count\":1,\"after\":[0]"])?;
+        }
+        for number in 10..19 {
+            std::thread::sleep(Duration::from_millis(100));
+            site.submit(other, service, &id(100 * round + number), 300)?;
+        }
+        let since = site.record.now();
+        if has_trouble {
+            silence_half(&site, owner, part);
+        }
+        let mut cancelled = Vec::new();
+        for job in &jobs {
+            let answer = site.client(other, "DELETE", &format!("/{service}/{job}"), "");
+            let at = site.record.now();
+            site.record.line(&format!("client: DELETE /{service}/{job}: {answer:?}"));
+            if answer.is_none_or(|(status, _)| status != 200) {
+                return None;
+            }
+            cancelled.push((at, job));
+        }
+        std::thread::sleep(Duration::from_secs(7));
+        for (at, job) in cancelled {
+            for run in site.record.runs(job) {
+                if (at + CANCEL).max(since + CONTACT) < run.began {
+                    is_broken = true;
+                    site.record.line(&format!(
+                        "{} began {:.3} s after the acknowledgement of the cancel",
+                        run.task,
+                        run.began - at
+                    ));
+                }
+            }
+        }
+    }
+    site.all_run().then_some(is_broken)
+}
+
+/// Makes half of the open connections of one machine of three to the store go silent, as many as
+/// `reset_conns` resets, among them that of the read of a partition's requests.
+fn silence_half(site: &Site, machine: usize, part: u32) {
+    let machine = &site.machines[machine];
+    let open = machine.path.open();
+    let silenced = machine.path.silence(open / 2, &format!("topic=keyed.requests&part={part}&"));
+    site.record.line(&format!(
+        "{} of {open} connections of {} to the store go silent: {silenced:?}",
+        silenced.len(),
+        machine.name
+    ));
+}
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -25,6 +25,8 @@
     let verdict = match case.as_str() {
         "silent-requests" => cases::silent_requests(site, has_trouble),
         "silent-configuration" => cases::silent_configuration(site, has_trouble),
+        "silent-cancel" => cases::silent_cancel(site, has_trouble),
+        "gang-failed" => cases::gang_failed(site, has_trouble),
         "one-machine-left" => cases::one_machine_left(site, has_trouble),
         _ => None,
     };
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -1,5 +1,6 @@
 //! A runner: starts, stops and reports tasks as PROTOCOL.md describes, and keeps the leases.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -11,6 +12,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 const HOLD_MAX_MS: u64 = 6_000;
 const STOP_TIME: Duration = Duration::from_millis(50);
+/// Time after which a runner that fails all that it starts fails a run.
+const FAIL_TIME: Duration = Duration::from_millis(50);
 
 struct Run {
     task: String,
@@ -18,6 +21,7 @@
     started: Instant,
     /// When it ends by itself; never for a task that lasts.
     ends: Option<Instant>,
+    fails: Option<Instant>,
     stops: Option<Instant>,
 }
 
@@ -46,6 +50,8 @@
     state: Mutex<State>,
     changed: Condvar,
     record: Arc<Record>,
+    /// Whether it fails all that it starts; what runs goes on.
+    is_grey: AtomicBool,
 }
 
 impl Runner {
@@ -60,6 +66,7 @@
             state: Mutex::default(),
             changed: Condvar::new(),
             record: record.clone(),
+            is_grey: AtomicBool::new(false),
         });
         let handler = runner.clone();
         let server = Server::start(move |request| handler.handle(request));
@@ -89,6 +96,17 @@
         runner
     }
 
+    /// Whether a run of a job takes place here.
+    pub fn runs(&self, job: &str) -> bool {
+        self.state.lock().unwrap().runs.iter().any(|it| it.task.starts_with(job))
+    }
+
+    /// Sets whether it fails all that it starts from now on.
+    pub fn set_grey(&self, is_grey: bool) {
+        self.is_grey.store(is_grey, Ordering::SeqCst);
+        self.record.line(&format!("runner {} fails all that it starts: {is_grey}", self.id));
+    }
+
     fn clock_ms(&self) -> u64 {
         self.since.elapsed().as_millis() as u64
     }
@@ -101,6 +119,7 @@
         let mut ended = Vec::new();
         state.runs.retain(|run| {
             let how = match run {
+                _ if run.fails.is_some_and(|it| it <= now) => "failed",
                 _ if run.ends.is_some_and(|it| it <= now) => "done",
                 _ if run.stops.is_some_and(|it| it <= now) => "stopped",
                 _ if has_lapsed => "lapsed",
@@ -118,7 +137,7 @@
                 attempt: *attempt,
                 how,
             });
-            self.record.line(&format!("runner {}: {task} run {attempt} ended: {how}", self.id));
+            self.record.run_ended(&self.id, task, *attempt, how);
         }
         drop(state);
         if !ended.is_empty() {
@@ -183,12 +202,13 @@
         // The payload of these clients is the time that a task takes, milliseconds; 0 if it lasts.
         let takes = body.get("spec").text().parse().unwrap_or(1000);
         let now = Instant::now();
-        self.record.line(&format!("runner {}: {task} run {attempt} begins", self.id));
+        self.record.run_begins(&self.id, &task, attempt);
         state.runs.push(Run {
             task,
             attempt,
             started: now,
             ends: (takes != 0).then(|| now + Duration::from_millis(takes)),
+            fails: self.is_grey.load(Ordering::SeqCst).then(|| now + FAIL_TIME),
             stops: None,
         });
         drop(state);
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -17,7 +17,8 @@
 
 pub const SERVICES: [&str; 5] = ["libros", "boletin", "prensa", "notarial", "comun"];
 pub const ZONES: [&str; 3] = ["norte-bilbao", "norte-santander", "norte-oviedo"];
-const RUNNERS: usize = 3;
+/// Runners of each service.
+const RUNNERS: usize = 9;
 pub const HOST: &str = "norte.example";
 pub const KEY: &str = "k-of-the-tenant";
 
@@ -37,6 +38,7 @@
     pub store: Arc<Store>,
     pub record: Arc<Record>,
     pub machines: Vec<Machine>,
+    pub runners: Vec<Arc<Runner>>,
     program: String,
     folder: PathBuf,
     version: u64,
@@ -48,10 +50,11 @@
     pub fn new(program: &str, folder: &str, record: Arc<Record>) -> Site {
         let store = Arc::new(Store::default());
         let listed: Arc<Mutex<Vec<String>>> = Arc::default();
+        let mut runners = Vec::new();
         for service in SERVICES {
             for number in 0..RUNNERS {
                 let (id, zone) = (format!("i-{service}-{number}"), ZONES[number % 3]);
-                Runner::start(&id, service, zone, &format!("r1-{number}"), &store, &record);
+                runners.push(Runner::start(&id, service, zone, &format!("r1-{number}"), &store, &record));
                 listed.lock().unwrap().push(format!(
                     "{{\"hostMachine\":\"m-{service}-{number}\",\"pool\":\"{service}\",\"state\":\"up\",\"zone\":\"{zone}\",\"labels\":[\"a\",\"r1-{number}\"],\"capacity\":{{\"cpu\":64000,\"memMb\":262144,\"gpu\":0}},\"id\":\"{id}\"}}"
                 ));
@@ -91,6 +94,7 @@
             store,
             record,
             machines,
+            runners,
             program: program.to_owned(),
             folder: PathBuf::from(folder),
             version: 0,
@@ -105,7 +109,7 @@
         self.version += 3;
         let route = |name: &str, prefix: &str, service: &str| {
             format!(
-                "{{\"name\":{},\"host\":\"{HOST}\",\"pathPrefix\":{},\"kind\":\"unsafe\",\"timeoutMs\":3000,\"targetLatencyMs\":600,\"priority\":0,\"service\":{},\"maxAttempts\":3,\"slackFactor\":1.6,\"public\":false}}",
+                "{{\"name\":{},\"host\":\"{HOST}\",\"pathPrefix\":{},\"kind\":\"unsafe\",\"timeoutMs\":3000,\"targetLatencyMs\":600,\"priority\":0,\"service\":{},\"maxAttempts\":2,\"slackFactor\":1.6,\"public\":false}}",
                 quote(name),
                 quote(prefix),
                 quote(service)
@@ -217,18 +221,19 @@
     /// Submits a job of one task that takes so long. Returns when it was accepted, in seconds of the
     /// record; `None` if it was not.
     pub fn submit(&self, machine: usize, service: &str, id: &str, takes_ms: u64) -> Option<f64> {
-        let lasts = if takes_ms == 0 { ",\"longRunning\":true" } else { "" };
-        let body = format!(
-            "{{\"spec\":\"{takes_ms}\",\"phases\":[{{\"count\":1,\"cpu\":500,\"memMb\":256,\"estimateMs\":{}{lasts}}}]}}",
-            takes_ms.max(900)
-        );
+        self.submit_steps(machine, service, id, takes_ms, &["\"count\":1"])
+    }
+
+    /// Submits a job of several steps, given by what is special in them, whose tasks take so long.
+    pub fn submit_steps(&self, machine: usize, service: &str, id: &str, takes_ms: u64, steps: &[&str]) -> Option<f64> {
+        let step = |it: &&str| format!("{{{it},\"cpu\":500,\"memMb\":256,\"estimateMs\":{takes_ms}}}");
+        let steps: Vec<String> = steps.iter().map(step).collect();
+        let body = format!("{{\"spec\":\"{takes_ms}\",\"phases\":[{}]}}", steps.join(","));
         let answer = self.client(machine, "POST", &format!("/{service}/{id}"), &body);
         let at = self.record.now();
         let status = answer.as_ref().map(|(status, _)| *status);
-        self.record.line(&format!(
-            "client: POST /{service}/{id} at {}: {status:?}",
-            self.machines[machine].name
-        ));
+        let name = &self.machines[machine].name;
+        self.record.line(&format!("client: POST /{service}/{id} at {name}: {status:?}"));
         (status == Some(200)).then_some(at)
     }
 }
