--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,7 +3,7 @@
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
-target/review-3/standin-3 silent-configuration target/release/oriole-fleet "$folder" review/13/record.txt
+target/review-3/standin-3 silent-requests target/release/oriole-fleet "$folder" review/13/record.txt
 code=$?
 rm -rf "$folder"
 [ "$code" -le 2 ] || code=2
