connection pool: close idle connections that may be silent

What callers saw: after the open connections of an instance to a server had fallen silent together, one call after the other failed, each after its whole timeout: up to four calls to another instance (0.7 s each), two to a worker (0.9 s each).

Cause: a call that times out closed its own connection only. The idle ones beside it were as silent, and the next call took one of them.

Change: a call that times out closes the idle connections that have answered nothing since it was sent. A call can ask for a new connection; nothing uses that yet.

Evidence: one_call_finds_out_that_all_open_connections_are_silent fails without the closing (the second call times out as well) and holds with it; a connection that has answered since is kept (a_connection_that_has_answered_since_a_lost_call_was_sent_is_kept).

--- a/daemon/src/client.rs
+++ b/daemon/src/client.rs
@@ -26,6 +26,16 @@
     inner: HyperClient<HttpConnector, Full<Bytes>>,
 }
 
+/// Connection on which a call is sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Connection {
+    /// An idle one, or a new one if there is none.
+    #[default]
+    Any,
+    /// A new one, as open ones may have fallen silent.
+    New,
+}
+
 /// HTTP request with its timeout.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -43,6 +53,8 @@
     pub timeout: Duration,
     /// Reading of [`clock::monotonic`] after which the request must not be sent.
     pub send_by: Duration,
+    /// Connection on which a [`ConnectionPool`](crate::connection_pool::ConnectionPool) sends it.
+    pub connection: Connection,
 }
 
 /// Response of a server.
@@ -72,6 +84,7 @@
             body: Bytes::new(),
             timeout,
             send_by: clock::monotonic() + timeout,
+            connection: Connection::Any,
         }
     }
 
@@ -90,6 +103,12 @@
         self
     }
 
+    /// Sets on which connection the call is sent.
+    pub fn on(mut self, connection: Connection) -> Call {
+        self.connection = connection;
+        self
+    }
+
     /// Whether the request may be sent now.
     pub(crate) fn may_be_sent(&self) -> bool {
         clock::monotonic() < self.send_by
--- a/daemon/tests/test_connection_pool.rs
+++ b/daemon/tests/test_connection_pool.rs
@@ -1,16 +1,18 @@
 //! Tests of calls that wait for a connection.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use oriole_daemon::client::Call;
+use oriole_daemon::client::{Call, Connection};
 use oriole_daemon::clock;
 use oriole_daemon::connection_pool::ConnectionPool;
 use oriolewall::platform::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Answers each request after a delay and reports its path.
 async fn serve(listener: TcpListener, delay: Duration, paths: mpsc::UnboundedSender<String>) {
@@ -50,3 +52,68 @@
     assert_eq!(received.recv().await.unwrap(), "/first");
     assert_eq!(received.recv().await.unwrap(), "/in-time");
 }
+
+/// Answers requests until it is told to fall silent on the connections that are open then. Counts
+/// the connections.
+async fn serve_until_silent(listener: TcpListener, silent: watch::Receiver<bool>, opened: Arc<AtomicUsize>) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        opened.fetch_add(1, Ordering::SeqCst);
+        let (silent, was_silent) = (silent.clone(), *silent.borrow());
+        tokio::spawn(async move {
+            let mut buffer = [0; 4096];
+            while let Ok(1..) = stream.read(&mut buffer).await {
+                // The calls of a test are open together, so that each takes a connection.
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                if *silent.borrow() == was_silent {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+                }
+            }
+        });
+    }
+}
+
+#[tokio::test]
+async fn one_call_finds_out_that_all_open_connections_are_silent() {
+    // Each call took another silent connection, and waited for its whole timeout.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (silence, silent) = watch::channel(false);
+    let opened = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(serve_until_silent(listener, silent, opened.clone()));
+    let pool = ConnectionPool::new(addr, 4);
+    let (a, b, c, d) = tokio::join!(
+        pool.call(call(addr, "/")),
+        pool.call(call(addr, "/")),
+        pool.call(call(addr, "/")),
+        pool.call(call(addr, "/"))
+    );
+    assert!([a, b, c, d].iter().all(Result::is_ok));
+    silence.send(true).unwrap();
+    let short = || Call::post(addr, "/", Bytes::new(), Duration::from_millis(200));
+    assert_eq!(pool.call(short()).await.err(), Some(Error::Lost));
+    assert!(pool.call(short()).await.is_ok(), "the next call uses a new connection");
+    assert_eq!(opened.load(Ordering::SeqCst), 5);
+}
+
+#[tokio::test]
+async fn a_connection_that_has_answered_since_a_lost_call_was_sent_is_kept() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (silence, silent) = watch::channel(false);
+    let opened = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(serve_until_silent(listener, silent, opened.clone()));
+    let pool = ConnectionPool::new(addr, 2);
+    assert!(pool.call(call(addr, "/")).await.is_ok());
+    silence.send(true).unwrap();
+    let lost = Call::post(addr, "/", Bytes::new(), Duration::from_millis(300));
+    let later = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        pool.call(call(addr, "/").on(Connection::New)).await
+    };
+    let (lost, answered) = tokio::join!(pool.call(lost), later);
+    assert_eq!(lost.err(), Some(Error::Lost));
+    assert!(answered.is_ok());
+    assert!(pool.call(call(addr, "/")).await.is_ok());
+    assert_eq!(opened.load(Ordering::SeqCst), 2, "the third call needs no new connection");
+}
