scheduler: start nothing while cancels may be unknown

Cause: a start was limited by the confirmation of the ownership and the team's grant, not by the age of what the owner knows of cancels.

Change: an order expires with the owner's view of the requests, `cancel_ms` after the time as of which it is known, and nothing is placed after that.

Evidence: nothing_starts_while_a_cancel_may_be_unknown_that_has_to_be_in_effect; before the change the owner has no such limit.

--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -72,6 +72,7 @@
         .with_token_form(node.settings.token_form)
         .with_learning(node.settings.learns);
     scheduler.set_commit_limits(node.settings.commit_limits);
+    scheduler.set_cancel_time(node.bounds.load().cancel);
     // Requests of queues that have moved to another pool are handed on.
     scheduler.set_catalog(catalog?);
     let (job_records, _) = job_records?;
--- a/lib/src/commit.rs
+++ b/lib/src/commit.rs
@@ -85,8 +85,9 @@
 
     /// Orders the start of a recorded run, or requeues its task if the run must not start
     /// any more: the job ended, the worker or its zone takes no work, advice or its team's grant
-    /// expired, or the ownership was not confirmed recently enough. Later owners rely on that last
-    /// limit, and later coordinators on that of the grant.
+    /// expired, callers' requests were not read recently enough, or the ownership was not confirmed
+    /// recently enough. Later owners rely on that last limit, and later coordinators on that of the
+    /// grant.
     fn start(&mut self, now: Now, id: InstanceId, key: RunKey) {
         let is_current = self.is_current(&id, &key);
         let is_evacuated = |it: &Worker| self.catalog.evacuated_zones.contains(&it.listed.zone);
@@ -98,7 +99,7 @@
         let clock_ms = worker.and_then(|it| it.clock_ms(now.mono));
         let accepts_work = worker.is_some_and(|it| it.accepts_work(now.mono) && !is_evacuated(it));
         let ticket = self.ticket(now, &key.task, &id);
-        let valid_for = START_EXPIRY.min(self.ownership_left(now));
+        let valid_for = START_EXPIRY.min(self.ownership_left(now)).min(self.cancels_known_for(now));
         let may_start = is_current && accepts_work && !valid_for.is_zero() && self.has_grant(&key.task.job);
         let (true, Some(clock_ms), Some(ticket)) = (may_start, clock_ms, ticket) else {
             self.release_run(&id, &key);
--- a/lib/src/polling.rs
+++ b/lib/src/polling.rs
@@ -30,8 +30,9 @@
         self.restart_inquiries(now);
         self.send_questions(now);
         self.expire_leases(now);
-        // Placements take effect with the next commit, so making them earlier gains nothing.
-        if self.can_commit(now) {
+        // Placements take effect with the next commit, so making them earlier gains nothing. None is
+        // started while cancels may be unknown.
+        if self.can_commit(now) && !self.cancels_known_for(now).is_zero() {
             self.candidates = Candidates::collect(now.mono, self.workers.values());
             self.evict(now);
             self.place_waiting_tasks(now);
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -88,6 +88,8 @@
     pub(crate) confirmed_at: Duration,
     /// Callers' requests that have been read.
     pub(crate) requests: View,
+    /// Time from the acknowledgement of a cancel after which no task of its job may start.
+    pub(crate) cancel_time: Duration,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) jobs: HashMap<JobKey, TrackedJob>,
     pub(crate) open_jobs: BTreeSet<JobKey>,
@@ -171,6 +173,7 @@
             acquired_at: now.mono,
             confirmed_at,
             requests: View::new(confirmed_at),
+            cancel_time: Duration::MAX,
             catalog: Arc::default(),
             jobs: HashMap::new(),
             open_jobs: BTreeSet::new(),
@@ -266,6 +269,11 @@
         (self.confirmed_at + self.limits.renewal_window).saturating_sub(now.mono)
     }
 
+    /// Sets the time from the acknowledgement of a cancel after which no task of its job may start.
+    pub fn set_cancel_time(&mut self, cancel_time: Duration) {
+        self.cancel_time = cancel_time;
+    }
+
     /// Records that all requests have been read that the log held at a monotonic time.
     pub fn requests_read(&mut self, as_of: Duration) {
         self.requests.renew(as_of);
@@ -276,6 +284,11 @@
         self.requests
     }
 
+    /// Time for which no cancel can be in the log that is unknown here and has to be in effect.
+    pub(crate) fn cancels_known_for(&self, now: Now) -> Duration {
+        self.requests.time_left(now.mono, self.cancel_time)
+    }
+
     /// Whether a later owner has replaced this one.
     pub fn is_fenced(&self) -> bool {
         self.fenced
--- a/lib/tests/test_cancel.rs
+++ b/lib/tests/test_cancel.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use oriolewall::job_record::{self, JobKey, Request};
 use oriolewall::order::RunOutcome;
@@ -174,3 +175,26 @@
     fixture.advance_ms(300);
     assert!(fixture.starts.is_empty());
 }
+
+#[test]
+fn nothing_starts_while_a_cancel_may_be_unknown_that_has_to_be_in_effect() {
+    // UNASKED: an owner whose reads were not answered went on to start what it knew.
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.owner.set_cancel_time(Duration::from_millis(3000));
+    fixture.owner.requests_read(fixture.now.mono);
+    fixture.add_request("early", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(2500);
+    assert_eq!(fixture.starts.len(), 1);
+    fixture.add_request("late", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(100);
+    assert_eq!(fixture.starts.len(), 2, "requests up to 2.6 s ago are known");
+    let left = fixture.starts[1].send_by.saturating_sub(fixture.now.mono);
+    assert!(left <= Duration::from_millis(500), "the order expires with the view: {left:?}");
+    fixture.advance_ms(500);
+    fixture.add_request("unread", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(2000);
+    assert_eq!(fixture.starts.len(), 2);
+    fixture.owner.requests_read(fixture.now.mono);
+    fixture.advance_ms(100);
+    assert_eq!(fixture.starts.len(), 3);
+}
