callers: deny queues and keys only by a current configuration

What callers could see (CONFIG): 404 for a queue, or 401 for a key, that was added longer ago than a configuration may take to be applied, while an instance cannot read the operators' records.

Cause: an instance answered by the configuration that it had, however old its view of the log was.

Change: such a request gets 503 with `configuration_outdated` and a time to return, at once. What the known configuration has is served as before.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -85,7 +85,7 @@
     let path = request.uri().path().to_owned();
     let target = catalog
         .map_err(unavailable_response)
-        .and_then(|it| resolve_target(&it, &request, &path));
+        .and_then(|it| resolve_target(&it, &request, &path).map_err(|it| deny(node, it)));
     let (call, id, response) = match target {
         Err(response) => ("none", JobKey::from(""), response),
         Ok(target) => {
@@ -113,21 +113,37 @@
     response
 }
 
+/// What a request names that the configuration does not have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Missing {
+    Queue,
+    Key,
+}
+
+/// Responds that a queue or a key does not exist, if every configuration is known that may have it.
+fn deny(node: &Node, missing: Missing) -> HttpResponse {
+    if !node.is_configuration_current() {
+        return unavailable_response(Cause::OutdatedConfiguration);
+    }
+    match missing {
+        Missing::Queue => error_response(StatusCode::NOT_FOUND, "there is no such queue"),
+        Missing::Key => error_response(StatusCode::UNAUTHORIZED, "the key is not known"),
+    }
+}
+
 /// Finds the queue by host and path, the team by the bearer key, and the deadline.
 /// A caller without a known key belongs to the team with the empty name, if the queue is public.
-fn resolve_target(catalog: &Catalog, request: &Request<Incoming>, path: &str) -> Result<Target, HttpResponse> {
+fn resolve_target(catalog: &Catalog, request: &Request<Incoming>, path: &str) -> Result<Target, Missing> {
     let host = request.headers().get(HOST).and_then(|it| it.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
-    let Some(queue) = catalog.route(host, path) else {
-        return Err(error_response(StatusCode::NOT_FOUND, "there is no such queue"));
-    };
+    let queue = catalog.route(host, path).ok_or(Missing::Queue)?;
     let key = request.headers().get(AUTHORIZATION).and_then(|it| it.to_str().ok());
     let key = key.and_then(|it| it.strip_prefix("Bearer ")).map(str::trim);
     let team = key.and_then(|it| catalog.keys.get(it));
     let team = match (team, queue.is_public) {
         (Some(team), _) => team.clone(),
         (None, true) => TeamId::from(""),
-        (None, false) => return Err(error_response(StatusCode::UNAUTHORIZED, "the key is not known")),
+        (None, false) => return Err(Missing::Key),
     };
     let deadline = request.headers().get(DEADLINE_HEADER).and_then(|it| it.to_str().ok());
     let deadline = deadline
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -306,6 +306,14 @@
         view.read_limits(clock::now().mono, self.bounds.load().config_apply)
     }
 
+    /// Returns whether every configuration is known here that has to be in effect.
+    pub(crate) fn is_configuration_current(&self) -> bool {
+        let time_left = self
+            .configuration_view()
+            .time_left(clock::now().mono, self.bounds.load().config_apply);
+        !time_left.is_zero()
+    }
+
     /// Locks the view of the configuration, which is replaced as a whole.
     fn configuration_view(&self) -> MutexGuard<'_, View> {
         self.configuration_view.lock().unwrap_or_else(|it| it.into_inner())
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -24,6 +24,9 @@
     NoConfiguration,
     /// This instance does not know yet from which pools queues have moved.
     NoHistory,
+    /// This instance may not know the configuration in effect, and by the one that it knows the
+    /// queue or the key does not exist.
+    OutdatedConfiguration,
     /// The log does not answer, here and through other instances; the time since it last did.
     LogSilent(Duration),
     /// The log answers, but what waits for it takes too long; the time until that is stored.
@@ -38,6 +41,7 @@
         match self {
             Cause::NoConfiguration => "no_configuration",
             Cause::NoHistory => "no_configuration_history",
+            Cause::OutdatedConfiguration => "configuration_outdated",
             Cause::LogSilent(_) => "log_silent",
             Cause::LogBusy(_) => "log_busy",
             Cause::OwnerSilent => "owner_silent",
@@ -50,7 +54,7 @@
         let expected = match self {
             Cause::LogSilent(outage) => outage,
             Cause::LogBusy(drain) => drain,
-            Cause::NoConfiguration | Cause::NoHistory | Cause::OwnerSilent => RETURN_RANGE.0,
+            Cause::NoConfiguration | Cause::NoHistory | Cause::OutdatedConfiguration | Cause::OwnerSilent => RETURN_RANGE.0,
         };
         let spread = 1.0 + RETURN_SPREAD * (2.0 * random - 1.0);
         expected.clamp(RETURN_RANGE.0, RETURN_RANGE.1).mul_f64(spread)
