--- a/fleet/tests/test_soak/scenario.rs
+++ b/fleet/tests/test_soak/scenario.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::checker::{Job, Step};
+use crate::link::Mode;
 use crate::process::Instance;
 use crate::site::{Faults, INSTANCES, LOG, POOLS, Site};
 use crate::traffic::{self, Callers};
@@ -77,6 +78,11 @@
         self.site.silence(instance, LOG);
     }
 
+    /// Cuts an instance off from the log for a time.
+    pub(crate) fn cut_log(&self, instance: usize, time: Duration) {
+        self.site.set_link(instance, LOG, Mode::Cut, 1.0, time);
+    }
+
     /// Reads a path at an instance. Returns the status of the answer, 0 if there is none.
     pub(crate) async fn get(&self, instance: usize, path: &str) -> u16 {
         self.callers.call_instance(instance, Method::GET, path, &Value::Null).await.0
--- a/fleet/tests/test_soak/silent_connections.rs
+++ b/fleet/tests/test_soak/silent_connections.rs
@@ -104,3 +104,17 @@
         assert_eq!(scenario.get(other, &format!("/q1/{job}")).await, 200, "{job}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_cannot_read_the_configuration_denies_no_queue() {
+    // CONFIG: 404 for a queue that had been added after the instance was cut off from the log.
+    let scenario = Scenario::start("cut-off").await;
+    assert_eq!(scenario.get(0, "/added/").await, 404);
+    scenario.cut_log(0, CONFIG_TIME * 3);
+    scenario.add_queue(2, "added");
+    tokio::time::sleep(CONFIG_TIME + CHECK_DELAY).await;
+    assert_eq!(scenario.get(0, "/added/").await, 503);
+    assert_eq!(scenario.get(1, "/added/").await, 200);
+    tokio::time::sleep(CONFIG_TIME * 4).await;
+    assert_eq!(scenario.get(0, "/added/").await, 200);
+}
