scheduler: count a failed run of a gang once

Cause: each member counted its own failures, and the end of one member also set the counts of the others to one or more. The second end of the same run added one more. If another member failed in each run, the counts stayed too low instead, and the gang went on after `maxAttempts`.

Change: a member counts the failures that it reported, and all members begin a run with the largest count. The form of the record stays; counts of earlier builds are limited by the number of runs.

Why it works: a member ends once in a run, so the counts of a run differ by one at most, and the largest is the number of runs that failed.

--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -203,7 +203,7 @@
 pub struct TaskRecord {
     /// Number of the latest run; zero before the first one. Run numbers are never reused.
     pub run: u32,
-    /// Number of failed runs.
+    /// Number of failed runs. Members of a gang share their runs: see [`JobRecord::gang_failures`].
     pub fails: u32,
     /// Whether the task waits, is placed or is done.
     pub state: TaskState,
@@ -361,6 +361,27 @@
         limited.map(|it| it.count.div_ceil(it.spread) as usize).max().unwrap_or(0)
     }
 
+    /// Returns the number of failed runs of a gang up to a run. A run has failed once, however many of
+    /// its members failed.
+    ///
+    /// A member counts only the failures that it reported itself, once in each run, from a count that
+    /// all members share when a run begins; so the largest count is that of the gang. Earlier builds
+    /// counted some runs several times, but never more runs than there were.
+    pub(crate) fn gang_failures(&self, turn: u32, step: usize, run: u32) -> u32 {
+        let most = self.step_tasks(turn, step).iter().map(|it| it.fails).max();
+        most.unwrap_or(0).min(run)
+    }
+
+    /// Prepares the next run of a gang, whose members share the count of failures then.
+    pub(crate) fn begin_gang_run(&mut self, turn: u32, step: usize, run: u32) {
+        let fails = self.gang_failures(turn, step, run.saturating_sub(1));
+        let first = self.first_position(turn, step);
+        let count = self.spec().steps[step].count as usize;
+        for task in &mut self.tasks[first..first + count] {
+            task.fails = fails;
+        }
+    }
+
     /// Whether no task has ever been assigned to a worker.
     pub fn has_no_placements(&self) -> bool {
         self.tasks.iter().all(|it| it.run == 0)
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -321,6 +321,9 @@
             self.search_failed(now, &group[0], step, chosen.len());
             return false;
         }
+        let first = &group[0];
+        let tracked = self.jobs.get_mut(&first.job).expect("the caller looked it up");
+        tracked.record.begin_gang_run(first.turn, usize::from(first.step), run);
         for (task, worker) in chosen {
             self.assign(now, &task, worker, run);
         }
--- a/lib/src/run_end.rs
+++ b/lib/src/run_end.rs
@@ -58,7 +58,11 @@
             RunOutcome::Failed => {
                 task.fails += 1;
                 task.state = TaskState::Waiting;
-                failed = !lasting && max_attempts <= task.fails;
+                let fails = match gang {
+                    true => record.gang_failures(end.key.task.turn, usize::from(end.key.task.step), end.key.run),
+                    false => task.fails,
+                };
+                failed = !lasting && max_attempts <= fails;
             }
             RunOutcome::Stopped | RunOutcome::Lapsed | RunOutcome::Broken | RunOutcome::Alone => task.state = TaskState::Waiting,
         }
@@ -99,7 +103,8 @@
         is_waiting && end.outcome == RunOutcome::Done && !step.lasting && !step.gang
     }
 
-    /// Applies the end of one member of a gang to the others: a gang completes or fails as a whole.
+    /// Applies the end of one member of a gang to the others: a gang completes as a whole, and the
+    /// checkpoint of any member is valid for all. Each member counts its own failures.
     fn apply_end_to_gang(&mut self, end: &RunEnd) {
         let Some(tracked) = self.jobs.get_mut(&end.key.task.job) else {
             return;
@@ -113,10 +118,6 @@
             if !end.checkpoint.is_empty() {
                 task.checkpoint = end.checkpoint.clone();
             }
-            if end.outcome == RunOutcome::Failed && index != end.key.task.index {
-                // The run of the whole gang failed, whichever member reported it.
-                task.fails = task.fails.max(1);
-            }
             if end.outcome == RunOutcome::Done && task.run == end.key.run {
                 task.state = TaskState::Done;
                 finished.push(RunKey {
