--- a/lib/tests/test_gang.rs
+++ b/lib/tests/test_gang.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use oriolewall::catalog::Queue;
 use oriolewall::job_record::{JobRecord, TaskState};
-use oriolewall::order::{RunEnd, RunOutcome};
+use oriolewall::order::{ActiveRun, RunEnd, RunOutcome, WorkerStatus};
 use oriolewall::query::JobStatus;
 use oriolewall::worker::RunKey;
 use testutils::owner::{OwnerFixture, queue, run_end, step, submit, task, worker};
@@ -170,6 +170,51 @@
     assert_eq!(gang.status(), Some(JobStatus::Failed));
 }
 
+#[test]
+fn all_members_start_from_the_same_checkpoint() {
+    // UNASKED: each member carried the checkpoint that its own worker had listed last.
+    let mut gang = Gang::start(2, 2);
+    gang.advance_ms(100);
+    for (index, (id, key)) in gang.running().into_iter().enumerate() {
+        let listed = ActiveRun {
+            key: key.clone(),
+            checkpoint: Arc::from(format!("c{index}")),
+            percent: 50,
+            measurement: None,
+        };
+        gang.clock_ms += 10;
+        let status = WorkerStatus {
+            clock_ms: gang.clock_ms,
+            started_ms: 1000,
+            active: gang.reports[&id]
+                .0
+                .iter()
+                .filter(|it| **it != key)
+                .map(|_| listed.clone())
+                .chain([listed.clone()])
+                .collect(),
+            ended: vec![],
+            has_unreadable_rows: false,
+        };
+        let contact = gang.fixture.contact(&id);
+        gang.fixture
+            .owner
+            .status_received(gang.fixture.now, &Arc::from(&*id), contact, status);
+    }
+    // The workers forget the runs, so that no end carries a checkpoint.
+    for (id, key) in gang.running() {
+        gang.end(&id, &key, None);
+    }
+    gang.clock_ms += 3000;
+    gang.advance_ms(100);
+    gang.report_all();
+    gang.advance_ms(100);
+    let starts: Vec<_> = gang.fixture.starts.iter().filter(|it| it.key.run == 2).collect();
+    assert_eq!(starts.len(), 2);
+    assert!(!starts[0].checkpoint.is_empty());
+    assert_eq!(starts[0].checkpoint, starts[1].checkpoint);
+}
+
 /// What happens to a member of a gang in a run.
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum Fate {
