log: give each read that waits a connection of its own

Cause: 17 reads that wait for records shared 8 connections. A read that got none for its time limit was not sent, and its partition was not followed meanwhile.

Change: there are as many connections as reads: one for each partition and one for the configuration. They are opened when needed, so an instance with few partitions opens no more than before.

--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -146,7 +146,10 @@
         let member = group::member_name(&settings, clock::now().wall_ms());
         let metrics = Metrics::new();
         Node {
-            log: Log::new(LogClient::new(settings.log_addr), metrics.log_resends.clone()),
+            log: Log::new(
+                LogClient::new(settings.log_addr, settings.partitions as usize),
+                metrics.log_resends.clone(),
+            ),
             // A call between instances carries a batch as one unit, which has to fit into an append.
             request_log: RequestLog::new((settings.commit_limits.call_bytes / 2).min(MAX_BATCH_BYTES)),
             advice_client: settings.advice_addr.map(AdviceClient::new),
--- a/fleet/tests/test_log.rs
+++ b/fleet/tests/test_log.rs
@@ -6,13 +6,15 @@
 use std::time::{Duration, Instant};
 
 use oriole_fleet::log::Log;
-use oriole_platform::log::{AppendPosition, Entry, Error, JOBS, LogClient, Partition, REQUESTS};
+use oriole_platform::log::{AppendPosition, Entry, Error, JOBS, LogClient, OPERATORS, Partition, REQUESTS};
 use oriolewall::log_view::ReadLimits;
 use oriolewall::platform;
 use prometheus::{IntCounterVec, Opts};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 
+const PARTITIONS: usize = 16;
 const PART: Partition = Partition { topic: JOBS, number: 0 };
 
 /// Starts a log that takes every call but sends no answer to those that `loses` selects by
@@ -109,7 +111,7 @@
 
 fn log(addr: SocketAddr) -> Log {
     let resends = IntCounterVec::new(Opts::new("resends", "resends"), &["outcome"]).unwrap();
-    Log::new(LogClient::new(addr), resends)
+    Log::new(LogClient::new(addr, PARTITIONS), resends)
 }
 
 async fn append(log: &Log, sequence: u64, timeout: Duration) -> Result<(), Error> {
@@ -226,3 +228,22 @@
     assert!(before.elapsed() < LIMITS.wait);
     assert_eq!(reads.load(Ordering::SeqCst), 1);
 }
+
+#[tokio::test]
+async fn an_instance_that_owns_all_partitions_waits_for_all_of_them() {
+    // LOST (review/12): 17 reads shared 8 connections, and some were sent seconds late.
+    let (addr, reads) = start_silent_log(usize::MAX).await;
+    let log = Arc::new(log(addr));
+    let limits = ReadLimits {
+        wait: Duration::from_secs(2),
+        overdue_after: Duration::from_secs(3),
+    };
+    let partitions = (0..PARTITIONS as u32).map(|number| Partition { topic: REQUESTS, number });
+    let mut waiting = JoinSet::new();
+    for part in partitions.chain([OPERATORS]) {
+        let log = log.clone();
+        waiting.spawn(async move { log.follow(part, 0, limits).await });
+    }
+    assert!(tokio::time::timeout(Duration::from_millis(500), waiting.join_next()).await.is_err());
+    assert_eq!(reads.load(Ordering::SeqCst), PARTITIONS + 1);
+}
