soak: series of silent connections

Half of the faults of the new runs are series of one to six times that open connections fall silent: those of waiting reads, all to the log, to a worker, or all, of one instance or of all four, beside the other faults. A job that was accepted more than `visible_ms` ago must not be denied, whatever the faults are. Draws of the other kinds of runs stay.

--- a/fleet/tests/test_soak/faults.rs
+++ b/fleet/tests/test_soak/faults.rs
@@ -71,6 +71,9 @@
     async fn inject(self, mut rng: StdRng) {
         let instance = rng.random_range(0..INSTANCES);
         let rng = &mut rng;
+        if self.site.faults == Faults::Silent && rng.random() {
+            return self.silence_repeatedly(rng).await;
+        }
         match rng.random_range(0..22) {
             0 => self.pause(instance, millis(rng, 3000..10_000)).await,
             1..=4 => self.pause_after_commit(rng, instance),
@@ -100,6 +103,31 @@
         }
     }
 
+    /// Silences open connections of one instance or of all, a few times in a row, so that those which
+    /// replace silent ones fall silent too.
+    async fn silence_repeatedly(&self, rng: &mut StdRng) {
+        let instances = match rng.random_bool(0.3) {
+            true => 0..INSTANCES,
+            false => {
+                let instance = rng.random_range(0..INSTANCES);
+                instance..instance + 1
+            }
+        };
+        for _ in 0..rng.random_range(1..=6) {
+            let kind = rng.random_range(0..4);
+            self.note(format!("open connections of {instances:?} go silent, kind {kind}"));
+            for instance in instances.clone() {
+                match kind {
+                    0 => self.site.silence_waiting_reads(instance),
+                    1 => self.site.silence(instance, LOG),
+                    2 => self.site.silence(instance, rng.random_range(0..WORKERS)),
+                    _ => (0..=LOG).for_each(|it| self.site.silence(instance, it)),
+                }
+            }
+            tokio::time::sleep(millis(rng, 100..2500)).await;
+        }
+    }
+
     fn reassign_partitions(&self) {
         self.note("partitions are reassigned".to_owned());
         self.site.disturb(INSTANCES, Duration::ZERO);
--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -51,7 +51,7 @@
 const END_TIME: Duration = Duration::from_secs(30);
 /// Time within which the instances get ready at the start.
 const START_TIME: Duration = Duration::from_secs(10);
-/// Seeds that run side by side, as they mostly wait.
+/// Seeds that run side by side, as they mostly wait, unless the environment names another number.
 const SIDE_BY_SIDE: usize = 10;
 /// Seeds of the short run in CI, then those that once broke a promise, with the cause.
 const SEEDS: &[u64] = &[
@@ -67,6 +67,9 @@
     357,
 ];
 
+/// Seeds with series of silent connections.
+const SILENT_SEEDS: &[u64] = &[1, 2, 3, 4, 5, 6];
+
 /// Seeds with a cap that is short.
 const CAP_SHORT_SEEDS: &[u64] = &[1, 2, 3, 4];
 
@@ -204,8 +207,9 @@
     runtime.expect("the runtime can be created").block_on(async {
         let (mut broken, mut running) = (Vec::new(), JoinSet::new());
         let mut seeds = seeds.into_iter();
+        let side_by_side = number_from_environment("ORIOLE_SIDE_BY_SIDE").map_or(SIDE_BY_SIDE, |it| it as usize);
         loop {
-            while running.len() < SIDE_BY_SIDE
+            while running.len() < side_by_side
                 && let Some(seed) = seeds.next()
             {
                 running.spawn(async move { (seed, soak(seed, faults).await) });
@@ -222,14 +226,18 @@
     })
 }
 
+fn number_from_environment(name: &str) -> Option<u64> {
+    std::env::var(name).ok().and_then(|it| it.parse().ok())
+}
+
 /// Runs the seeds that the environment names, or else the given ones. For fresh seeds, the first
 /// one and their number:
 /// `ORIOLE_FIRST_SEED=1000 ORIOLE_SEEDS=50 cargo test -p oriole-fleet --test test_soak`.
+/// `ORIOLE_SIDE_BY_SIDE` is the number of seeds at the same time, of four processes each.
 fn check_seeds(seeds: &[u64], faults: Faults) {
-    let number = |name| std::env::var(name).ok().and_then(|it| it.parse::<u64>().ok());
-    let broken = match number("ORIOLE_SEEDS") {
+    let broken = match number_from_environment("ORIOLE_SEEDS") {
         Some(count) => {
-            let first = number("ORIOLE_FIRST_SEED").unwrap_or(0);
+            let first = number_from_environment("ORIOLE_FIRST_SEED").unwrap_or(0);
             run_seeds(first..first + count, faults)
         }
         None => run_seeds(seeds.iter().copied(), faults),
@@ -258,6 +266,11 @@
     check_seeds(&[347, 6014, 6043], Faults::QueuesMove);
 }
 
+#[test]
+fn promises_hold_while_connections_fall_silent() {
+    check_seeds(SILENT_SEEDS, Faults::Silent);
+}
+
 #[test]
 fn promises_hold_while_pools_share_a_short_cap() {
     check_seeds(CAP_SHORT_SEEDS, Faults::CapShort);
--- a/fleet/tests/test_soak/site.rs
+++ b/fleet/tests/test_soak/site.rs
@@ -60,6 +60,8 @@
     QueuesMove,
     /// As [`Faults::Standard`], and the team has a cap ([`CAP`]) that its jobs exceed.
     CapShort,
+    /// As [`Faults::Standard`], and half of the faults are series of silent connections.
+    Silent,
 }
 
 impl Faults {
@@ -67,7 +69,7 @@
     pub(crate) fn cap(self) -> u64 {
         match self {
             Faults::CapShort => CAP,
-            Faults::Standard | Faults::LateCallsOutlive | Faults::QueuesMove => 0,
+            Faults::Standard | Faults::LateCallsOutlive | Faults::QueuesMove | Faults::Silent => 0,
         }
     }
 }
--- a/fleet/tests/test_soak/traffic.rs
+++ b/fleet/tests/test_soak/traffic.rs
@@ -108,6 +108,10 @@
             tokio::time::sleep(Duration::from_millis(rng.random_range(500..4000))).await;
             self.call(&mut rng, Method::POST, &path, &body).await;
         }
+        if self.site.faults == Faults::Silent && rng.random() {
+            tokio::time::sleep(VISIBLE_TIME + Duration::from_millis(20)).await;
+            self.read_during_faults(&mut rng, &id, &path).await;
+        }
         if rng.random_bool(if lasting { 0.5 } else { CANCELLED }) {
             tokio::time::sleep(Duration::from_millis(rng.random_range(100..8000))).await;
             self.cancel(&mut rng, &id, &path).await;
@@ -161,6 +165,17 @@
         }
     }
 
+    /// Reads the state of a job that was accepted longer ago than it may be unknown. Whatever the
+    /// faults, an instance that does not know whether there is a job must not deny it.
+    async fn read_during_faults(&self, rng: &mut StdRng, id: &str, path: &str) {
+        let (status, _) = self.call(rng, Method::GET, path, &Value::Null).await;
+        if status == 410 {
+            let now = self.site.now();
+            let checker = &mut self.site.lock().checker;
+            checker.broken(now, "LOST", id, "denied during the faults");
+        }
+    }
+
     /// Reads the state of an accepted job that nobody has cancelled, after the faults.
     pub(crate) async fn read(&self, rng: &mut StdRng, id: &str) {
         let (status, body) = self.call(rng, Method::GET, &format!("/q1/{id}"), &Value::Null).await;
