log view: wait for whole milliseconds

Cause: the log was asked to wait for a whole number of milliseconds and answered up to one before the end of the wait that was computed. The answer did not count as a wait in vain, so the next read waited for 0.1 s only.

Change: the wait is cut to whole milliseconds.

Evidence: a_read_waits_for_whole_milliseconds fails without the change.

--- a/lib/src/log_view.rs
+++ b/lib/src/log_view.rs
@@ -52,6 +52,8 @@
     pub fn read_limits(&self, now: Duration, promise: Duration) -> ReadLimits {
         let time_left = self.time_left(now, promise);
         let wait = time_left.saturating_sub(OVERDUE_AFTER + CHECK_TIME).clamp(MIN_WAIT, MAX_WAIT);
+        // The log waits for whole milliseconds. The end of a longer wait would not be reached.
+        let wait = Duration::from_millis(wait.as_millis() as u64);
         ReadLimits {
             wait,
             overdue_after: wait + OVERDUE_AFTER,
--- a/lib/tests/test_log_view.rs
+++ b/lib/tests/test_log_view.rs
@@ -67,3 +67,12 @@
     let limits = View::new(ms(0)).read_limits(ms(10_000), ms(3000));
     assert!((ms(50)..=ms(200)).contains(&limits.wait), "{limits:?}");
 }
+
+#[test]
+fn a_read_waits_for_whole_milliseconds() {
+    // The log answered just before the end of the wait, which counted as no wait at all, so every
+    // second read waited for 0.1 s only.
+    let now = Duration::from_micros(3_456);
+    let wait = View::new(ms(0)).read_limits(now, ms(2000)).wait;
+    assert_eq!(wait, ms(1246));
+}
