--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -299,8 +299,8 @@
     }
 
     /// Records that all operators' records are known that the log held at a monotonic time.
-    pub(crate) fn renew_configuration(&self, sent: Duration) {
-        self.configuration_view().renew(sent);
+    pub(crate) fn renew_configuration(&self, as_of: Duration) {
+        self.configuration_view().renew(as_of);
     }
 
     /// Returns the limits of the next read of operators' records.
--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -376,8 +376,8 @@
     /// that of any member is valid for all.
     pub(crate) fn begin_gang_run(&mut self, turn: u32, step: usize, run: u32) {
         let fails = self.gang_failures(turn, step, run.saturating_sub(1));
-        let checkpoints = self.step_tasks(turn, step).iter().map(|it| &it.checkpoint);
-        let checkpoint = checkpoints.filter(|it| !it.is_empty()).next_back().cloned();
+        let mut checkpoints = self.step_tasks(turn, step).iter().map(|it| &it.checkpoint);
+        let checkpoint = checkpoints.find(|it| !it.is_empty()).cloned();
         let first = self.first_position(turn, step);
         let count = self.spec().steps[step].count as usize;
         for task in &mut self.tasks[first..first + count] {
--- a/lib/src/log_view.rs
+++ b/lib/src/log_view.rs
@@ -42,9 +42,14 @@
 }
 
 impl View {
-    /// Creates a view from a read that was sent at a time and answered in full.
-    pub fn new(sent: Duration) -> View {
-        View { as_of: sent }
+    /// Creates a view that holds as of a time.
+    pub fn new(as_of: Duration) -> View {
+        View { as_of }
+    }
+
+    /// Adds a read that tells all records up to a time.
+    pub fn renew(&mut self, as_of: Duration) {
+        self.as_of = self.as_of.max(as_of);
     }
 
     /// Limits of the next read. A record is known within the promised time from its acknowledgement
@@ -60,11 +65,6 @@
         }
     }
 
-    /// Adds a read that was sent at a time.
-    pub fn renew(&mut self, sent: Duration) {
-        self.as_of = self.as_of.max(sent);
-    }
-
     /// Time for which all records are still known that were acknowledged longer ago than promised.
     pub fn time_left(&self, now: Duration, promise: Duration) -> Duration {
         (self.as_of.saturating_add(promise)).saturating_sub(now)
