--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::str::FromStr;
 use std::time::Duration;
 
 use ini::Ini;
@@ -46,6 +47,33 @@
     Choice(&'static [&'static str]),
 }
 
+/// A setting given on the command line as `section.key=value`, in place of the file's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Override {
+    section: String,
+    key: String,
+    value: String,
+}
+
+/// The text of an [`Override`] does not have its form.
+#[derive(Debug, Error)]
+#[error("{0:?}: must be section.key=value")]
+pub struct OverrideError(String);
+
+impl FromStr for Override {
+    type Err = OverrideError;
+
+    fn from_str(text: &str) -> Result<Override, OverrideError> {
+        let parts = text.split_once('=').and_then(|(name, value)| Some((name.split_once('.')?, value)));
+        let ((section, key), value) = parts.ok_or_else(|| OverrideError(text.to_owned()))?;
+        Ok(Override {
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: value.to_owned(),
+        })
+    }
+}
+
 /// Why a settings file was refused.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -111,11 +139,20 @@
 impl Settings {
     /// Reads and validates a file.
     pub fn load(path: &Path, specs: &'static [SettingSpec]) -> Result<Settings, Error> {
+        Settings::load_with(path, &[], specs)
+    }
+
+    /// Reads a file, replaces some of its values and validates the result. An empty value replaces
+    /// nothing.
+    pub fn load_with(path: &Path, overrides: &[Override], specs: &'static [SettingSpec]) -> Result<Settings, Error> {
         let file = path.display().to_string();
-        let ini = Ini::load_from_file(path).map_err(|err| Error::File {
+        let mut ini = Ini::load_from_file(path).map_err(|err| Error::File {
             file: file.clone(),
             message: err.to_string(),
         })?;
+        for it in overrides.iter().filter(|it| !it.value.is_empty()) {
+            ini.set_to(Some(&*it.section), it.key.clone(), it.value.clone());
+        }
         Settings::validate(file, ini, specs)
     }
 
--- a/daemon/tests/test_settings.rs
+++ b/daemon/tests/test_settings.rs
@@ -1,7 +1,7 @@
 //! Validation of settings files. The error for an invalid file names the file, section, key, value
 //! and the accepted values.
 
-use oriole_daemon::settings::{ENTRY, MAINTAIN, Settings};
+use oriole_daemon::settings::{ENTRY, MAINTAIN, Override, Settings};
 
 const VALID: &str = "[entry]\nname = e1\nzone = za\nlisten = 127.0.0.1:1\n[platform]\nlog = 127.0.0.1:2\nlist = 127.0.0.1:3\n";
 
@@ -48,3 +48,22 @@
         assert!(Settings::parse("example", text, specs).is_ok());
     }
 }
+
+#[test]
+fn settings_of_the_command_line_replace_those_of_the_file() {
+    let path = std::env::temp_dir().join(format!("overrides-{}.ini", std::process::id()));
+    std::fs::write(&path, VALID).unwrap();
+    let load = |overrides: &[&str]| {
+        let overrides: Vec<Override> = overrides.iter().map(|it| it.parse().unwrap()).collect();
+        Settings::load_with(&path, &overrides, ENTRY)
+    };
+    let settings = load(&["bounds.lease_ms=7000", "entry.zone=zb", "entry.name="]).unwrap();
+    assert_eq!(settings.number("bounds", "lease_ms"), 7_000);
+    assert_eq!(settings.text("entry", "zone"), "zb");
+    assert_eq!(settings.text("entry", "name"), "e1");
+    let refused = load(&["bounds.lease_ms=5"]).unwrap_err().to_string();
+    assert!(refused.contains("[bounds] lease_ms = \"5\": must be"), "{refused}");
+    assert!(load(&["bounds.lease=5"]).is_err(), "it is not known");
+    assert!("bounds".parse::<Override>().is_err());
+    std::fs::remove_file(&path).unwrap();
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -56,7 +56,6 @@
 mod watch;
 
 use std::future::Future;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,7 +66,7 @@
 use tokio::task::JoinHandle;
 
 use crate::node::Node;
-use crate::settings::Settings;
+use crate::settings::{Settings, Source};
 
 /// Time during which new requests are still accepted after SIGTERM. The platform
 /// takes an instance out of rotation after two failed checks, one per second.
@@ -78,8 +77,8 @@
 /// Runs an entry instance until SIGTERM, then hands its partitions over and
 /// finishes open requests.
 ///
-/// `path` is the settings file, which is checked for changes meanwhile.
-pub async fn run(settings: Settings, path: PathBuf) -> anyhow::Result<()> {
+/// `source` is where the settings come from; the file is checked for changes meanwhile.
+pub async fn run(settings: Settings, source: Source) -> anyhow::Result<()> {
     let caller_listener = bind(settings.caller_addr).await?;
     let readiness_listener = bind(settings.readiness_addr).await?;
     let peer_listener = bind(settings.peer_addr).await?;
@@ -102,7 +101,7 @@
     tokio::spawn(server::run(metrics_listener, node.clone(), Listener::Metrics));
     spawn_supervised(&node, "configuration", watch::follow_configuration);
     spawn_supervised(&node, "workers", watch::follow_workers);
-    spawn_supervised(&node, "settings", move |node| watch::follow_settings(node, path.clone()));
+    spawn_supervised(&node, "settings", move |node| watch::follow_settings(node, source.clone()));
     spawn_supervised(&node, "coordinator", coordinator::run);
     spawn_supervised(&node, "assignments", assignments::run);
     spawn_supervised(&node, "owners", group::follow_owners);
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -3,7 +3,8 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use oriole_fleet::settings::Settings;
+use oriole_daemon::settings::Override;
+use oriole_fleet::settings::{Settings, Source};
 
 /// Run one entry instance until SIGTERM. It then hands its partitions over and finishes open requests.
 ///
@@ -13,6 +14,9 @@
     /// settings file
     #[argh(option)]
     config: PathBuf,
+    /// setting in place of the file's, as section.key=value; an empty value leaves that of the file
+    #[argh(option)]
+    set: Vec<Override>,
     /// check the settings file and exit
     #[argh(switch)]
     check: bool,
@@ -23,10 +27,14 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> anyhow::Result<()> {
     let args: Args = argh::from_env();
-    let settings = Settings::load(&args.config)?;
+    let source = Source {
+        path: args.config,
+        overrides: args.set,
+    };
+    let settings = Settings::load(&source)?;
     if args.check {
-        println!("{}: ok", args.config.display());
+        println!("{}: ok", source.path.display());
         return Ok(());
     }
-    oriole_fleet::run(settings, args.config).await
+    oriole_fleet::run(settings, source).await
 }
--- a/fleet/src/settings.rs
+++ b/fleet/src/settings.rs
@@ -4,10 +4,10 @@
 //! any other setting takes effect at the next start.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 
-use oriole_daemon::settings::{Error, SettingSpec, Settings as File, ValueKind};
+use oriole_daemon::settings::{Error, Override, SettingSpec, Settings as File, ValueKind};
 use oriolewall::client_budget::Limits;
 use oriolewall::commit_size::CommitLimits;
 use oriolewall::id::ZoneId;
@@ -253,6 +253,24 @@
     pub idle_time: Duration,
 }
 
+/// Where the settings of a process come from.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// The settings file.
+    pub path: PathBuf,
+    /// Settings of the command line, which replace those of the file.
+    pub overrides: Vec<Override>,
+}
+
+impl From<PathBuf> for Source {
+    fn from(path: PathBuf) -> Source {
+        Source {
+            path,
+            overrides: Vec::new(),
+        }
+    }
+}
+
 /// Parsed contents of a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -318,9 +336,10 @@
 }
 
 impl Settings {
-    /// Reads and validates a settings file.
-    pub fn load(path: &Path) -> Result<Settings, Error> {
-        Ok(Settings::from_file(&File::load(path, SPECS)?))
+    /// Reads and validates the settings.
+    pub fn load(source: &Source) -> Result<Settings, Error> {
+        let file = File::load_with(&source.path, &source.overrides, SPECS)?;
+        Ok(Settings::from_file(&file))
     }
 
     /// Validates settings text; `file` is the name to use in errors.
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -1,7 +1,6 @@
 //! Follows operators' configuration, the list of workers and the settings file,
 //! and publishes their changes to the rest of the process.
 
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +12,7 @@
 
 use crate::log::Followed;
 use crate::node::{Configuration, Node};
-use crate::settings::Settings;
+use crate::settings::{Settings, Source};
 use crate::{assignments, clock};
 
 /// Number of operators' records before the newest ones that are read at the start: those that may
@@ -239,23 +238,23 @@
 /// Reloads the settings file when it changes and on SIGHUP. An invalid file is
 /// rejected and the current settings stay. Of a valid one the platform's limits are
 /// applied; the log line reports whether other settings differ, which need a restart.
-pub(crate) async fn follow_settings(node: Arc<Node>, path: PathBuf) {
+pub(crate) async fn follow_settings(node: Arc<Node>, source: Source) {
     use tokio::signal::unix::{SignalKind, signal};
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         return;
     };
-    let mut last_text = std::fs::read(&path).ok();
+    let mut last_text = std::fs::read(&source.path).ok();
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
             () = tokio::time::sleep(SETTINGS_INTERVAL) => false,
         };
-        let text = std::fs::read(&path).ok();
+        let text = std::fs::read(&source.path).ok();
         if text == last_text && !signalled {
             continue;
         }
         last_text = text;
-        match Settings::load(&path) {
+        match Settings::load(&source) {
             Ok(new) => {
                 node.bounds.store(Arc::new(new.bounds));
                 let needs_restart = Settings {
--- a/fleet/tests/test_group.rs
+++ b/fleet/tests/test_group.rs
@@ -158,7 +158,7 @@
 async fn an_owner_does_not_go_on_after_another_one_had_its_partition_between_two_joins() {
     // The second join confirmed the earlier ownership, as it listed the partition again.
     let (log, addr) = FakeLog::start().await;
-    let instance = tokio::spawn(oriole_fleet::run(settings(addr), PathBuf::from("none")));
+    let instance = tokio::spawn(oriole_fleet::run(settings(addr), PathBuf::from("none").into()));
     assert_eq!(log.wait_for_appends(1).await, [1]);
     *log.fence.lock().unwrap() = 2;
     *log.generation.lock().unwrap() = 3;
@@ -169,7 +169,7 @@
 #[tokio::test]
 async fn an_owner_asks_the_log_at_each_join_once_another_one_may_have_had_its_partition() {
     let (log, addr) = FakeLog::start().await;
-    let instance = tokio::spawn(oriole_fleet::run(settings(addr), PathBuf::from("none")));
+    let instance = tokio::spawn(oriole_fleet::run(settings(addr), PathBuf::from("none").into()));
     assert_eq!(log.wait_for_appends(1).await, [1]);
     // One change of the group cannot take the partition away and give it back.
     *log.generation.lock().unwrap() = 2;
@@ -189,7 +189,7 @@
     // It held the partitions that it was given, and could not take them over.
     let (log, addr) = FakeLog::start().await;
     *log.refuses_operators.lock().unwrap() = true;
-    let instance = tokio::spawn(oriole_fleet::run(settings(addr), PathBuf::from("none")));
+    let instance = tokio::spawn(oriole_fleet::run(settings(addr), PathBuf::from("none").into()));
     tokio::time::sleep(Duration::from_millis(1000)).await;
     assert_eq!(*log.joins.lock().unwrap(), 0);
     *log.refuses_operators.lock().unwrap() = false;
@@ -219,7 +219,7 @@
     let mut settings = settings(addr);
     settings.peer_addr = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
     let peer_addr = settings.peer_addr;
-    let instance = tokio::spawn(oriole_fleet::run(settings, PathBuf::from("none")));
+    let instance = tokio::spawn(oriole_fleet::run(settings, PathBuf::from("none").into()));
     assert_eq!(log.wait_for_appends(1).await, [1]);
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(matches!(report(peer_addr).await, Reply::Grants(_)));
--- a/fleet/tests/test_moved_queue.rs
+++ b/fleet/tests/test_moved_queue.rs
@@ -228,7 +228,7 @@
         .replace("log = 127.0.0.1:7700", &format!("log = {log_addr}"));
     let settings = Settings::parse("fleet.ini", &text).unwrap();
     let readiness_addr = settings.readiness_addr;
-    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("fleet.ini")));
+    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("fleet.ini").into()));
     [addrs[0], readiness_addr, addrs[2]]
 }
 
--- a/fleet/tests/test_odd_entries.rs
+++ b/fleet/tests/test_odd_entries.rs
@@ -160,7 +160,7 @@
 #[tokio::test]
 async fn an_instance_follows_the_workers_beside_odd_entries() {
     let platform = Platform::start().await;
-    let instance = tokio::spawn(oriole_fleet::run(settings(platform.addr), PathBuf::from("none")));
+    let instance = tokio::spawn(oriole_fleet::run(settings(platform.addr), PathBuf::from("none").into()));
     let expected = HashSet::from(["first".to_owned(), "second".to_owned()]);
     let mut asked = HashSet::new();
     for _ in 0..100 {
--- a/fleet/tests/test_peaks.rs
+++ b/fleet/tests/test_peaks.rs
@@ -149,7 +149,7 @@
         move_time: Duration::from_secs(2),
         learns: true,
     };
-    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("none")));
+    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("none").into()));
     peer_addr
 }
 
--- a/fleet/tests/test_quarantine.rs
+++ b/fleet/tests/test_quarantine.rs
@@ -139,7 +139,7 @@
         .replace("parts = 16", "parts = 1")
         .replace("log = 127.0.0.1:7700", &format!("log = {log_addr}"));
     let settings = Settings::parse("fleet.ini", &text).unwrap();
-    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("fleet.ini")));
+    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("fleet.ini").into()));
     let path = |id: &str| format!("/queue/{id}");
     for _ in 0..200 {
         if send(addrs[0], "GET", &path(GOOD)).await.0 == 200 {
