--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -372,9 +372,10 @@
         most.unwrap_or(0).min(run)
     }
 
-    /// Prepares the next run of a gang: its members share the count of failures and a checkpoint, as
+    /// Prepares the next run of the gang of a task: its members share the count of failures and a checkpoint, as
     /// that of any member is valid for all.
-    pub(crate) fn begin_gang_run(&mut self, turn: u32, step: usize, run: u32) {
+    pub(crate) fn begin_gang_run(&mut self, member: &TaskKey, run: u32) {
+        let (turn, step) = (member.turn, usize::from(member.step));
         let fails = self.gang_failures(turn, step, run.saturating_sub(1));
         let mut checkpoints = self.step_tasks(turn, step).iter().map(|it| &it.checkpoint);
         let checkpoint = checkpoints.find(|it| !it.is_empty()).cloned();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -71,6 +71,7 @@
 //! - [`refusal`]: when callers' requests are refused, and when callers should return.
 //! - [`owner_shortage`]: when instances with little CPU own partitions.
 //! - [`log_view`]: how current a view of the log is, and how often it is renewed.
+//! - `request_view`: what an owner knows of callers' requests.
 //! - [`reachability`]: whether the log answers an instance.
 //! - [`time_limits`]: time limits of an owner's leases and ownership.
 //! - [`tenure`]: whether another owner may have held a partition meanwhile.
@@ -152,6 +153,7 @@
 pub mod refusal;
 pub mod replica;
 mod request;
+mod request_view;
 pub mod resend;
 pub mod resources;
 pub mod rpc;
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -321,9 +321,8 @@
             self.search_failed(now, &group[0], step, chosen.len());
             return false;
         }
-        let first = &group[0];
-        let tracked = self.jobs.get_mut(&first.job).expect("the caller looked it up");
-        tracked.record.begin_gang_run(first.turn, usize::from(first.step), run);
+        let tracked = self.jobs.get_mut(&group[0].job).expect("the caller looked it up");
+        tracked.record.begin_gang_run(&group[0], run);
         for (task, worker) in chosen {
             self.assign(now, &task, worker, run);
         }
