soak: a folder for each kind of run

Cause: the runs of all tests of the process wrote to the folder soak-SEED-PID. The new runs with silent connections have the seeds 1 to 6, which other kinds have too, so two runs at the same time overwrote each other's settings and listened on the same ports.

Change: the kind of run is part of the folder's name.

--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -75,7 +75,7 @@
 
 /// Runs a seed and returns a report if a promise was broken.
 async fn soak(seed: u64, faults: Faults) -> Option<String> {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}-{}", std::process::id()));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{faults:?}-{seed}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("the folder can be created");
     let mut rng = StdRng::seed_from_u64(seed);
     let (site, log_ports, pauses) = Site::start(rng.random(), FAULT_TIME, faults).await;
