owner: send status requests again on a new connection

What callers and workers saw: running tasks end as `lapsed` and run again elsewhere, with the work since their checkpoint lost, after the connections of their owner to the workers have fallen silent.

Cause: a status request renews leases. One on a silent connection was given up 2.4 s after it was sent, and the leases of 3.6 s had been renewed up to 1.56 s before that; 0.4 s later the worker was called again. By computation leases of 4.5 s were just long enough.

Change: a request whose answer is overdue by 0.35 s is sent again on a new connection, and the first answer counts. A worker waits so long at most that this leaves time to renew the leases (`TimeLimits::status_wait`). The request that was not answered may be carried out late, so the contact ends as after any lost call. Idle connections of the owner to all workers that have answered nothing since are closed, those to the log as well when a read of it was silent. A stop order that is repeated uses a new connection. A process that runs late reads the answers that have arrived before it takes any for overdue.

Evidence: running_tasks_keep_their_leases_while_the_connections_to_their_workers_are_silent failed on (runs lapsed) and holds; a_status_request_is_sent_again_before_the_leases_end_that_the_one_before_renewed checks the limits for leases of 1 to 6 s.

--- a/daemon/src/connection_pool.rs
+++ b/daemon/src/connection_pool.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -22,7 +22,6 @@
 use oriolewall::platform::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
 
 use crate::client::{Call, Connection, Response};
 
@@ -89,7 +88,7 @@
     /// [`Error::Undelivered`] means that the call had no effect; after [`Error::Lost`] it may have
     /// taken effect.
     pub async fn call(&self, call: Call) -> Result<Response, Error> {
-        let deadline = Instant::now() + call.timeout;
+        let deadline = tokio::time::Instant::now() + call.timeout;
         let permit = tokio::time::timeout_at(deadline, self.permits.acquire()).await;
         let Ok(Ok(_permit)) = permit else {
             return Err(Error::Undelivered);
@@ -121,8 +120,9 @@
         Ok(response)
     }
 
-    /// Closes the idle connections that have answered nothing since this time.
-    fn close_idle_since(&self, sent: Instant) {
+    /// Closes the idle connections that have answered nothing since this time, when a call was sent
+    /// that has found another connection silent.
+    pub fn close_idle_since(&self, sent: Instant) {
         if let Ok(mut idle) = self.idle.lock() {
             idle.retain(|it| sent < it.answered);
         }
--- a/fleet/src/actions.rs
+++ b/fleet/src/actions.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use oriole_daemon::client::Connection;
 use oriole_platform::log::{AppendPosition, Entry, Error, JOBS, Partition, REQUESTS};
+use oriole_platform::worker::StatusRequest;
 use oriolewall::decision::Decision;
 use oriolewall::id::PoolId;
 use oriolewall::inquiry::Holding;
@@ -16,7 +18,7 @@
 
 use crate::node::Node;
 use crate::owner::{ADVICE_TIMEOUT, CALL_TIMEOUT, Event, Owner, RETRY_DELAY};
-use crate::{clock, peer, request_log, watch};
+use crate::{clock, peer, request_log, watch, worker_status};
 
 /// A decision with the ownership under which it was made.
 #[derive(Serialize)]
@@ -47,13 +49,19 @@
                     let _ = events.send(Event::StartAnswered(id, key, contact, answer));
                 });
             }
-            Action::Stop { worker: id, contact, key } => {
+            Action::Stop {
+                worker: id,
+                contact,
+                key,
+                is_repeated,
+            } => {
                 let (events, fencing_token) = (self.events.clone(), fencing_token(self.epoch, contact));
                 let node = self.node.clone();
                 let worker = self.workers.get(&id).cloned();
                 self.background_tasks.spawn(async move {
                     let Some(worker) = worker else { return };
-                    let answer = worker.stop(&key, fencing_token).await;
+                    let connection = if is_repeated { Connection::New } else { Connection::Any };
+                    let answer = worker.stop(&key, fencing_token, connection).await;
                     count_order(&node, "stop", answer);
                     let _ = events.send(Event::OrderAnswered(id, contact, answer));
                 });
@@ -64,13 +72,21 @@
                 ack_cursor,
                 lease_until_ms,
                 wait,
+                overdue_after,
             } => {
-                let (events, fencing_token) = (self.events.clone(), fencing_token(self.epoch, contact));
+                let events = self.events.clone();
+                let request = StatusRequest {
+                    token: fencing_token(self.epoch, contact),
+                    ack_through: ack_cursor,
+                    lease_until_ms,
+                    wait,
+                    connection: Connection::Any,
+                };
                 let worker = self.workers.get(&id).cloned();
                 self.background_tasks.spawn(async move {
                     let Some(worker) = worker else { return };
-                    let status = worker.fetch_status(fencing_token, ack_cursor, lease_until_ms, wait).await;
-                    let _ = events.send(Event::StatusReceived(id, contact, status));
+                    let fetched = worker_status::fetch(&worker, request, overdue_after).await;
+                    let _ = events.send(Event::StatusReceived(id, contact, fetched));
                 });
             }
             Action::SetSpeed {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -9,6 +9,8 @@
 //! - `clock`: reads the system clocks.
 //! - `node`: state shared by all tasks of the process.
 //! - `assignments`: keeps the assignments of queues to pools in the log.
+//! - `overdue`: answers that are overdue.
+//! - `worker_status`: status requests to workers, sent again if an answer is overdue.
 //! - `watch`: follows operators' configuration, the list of workers and the settings file.
 //! - `group`: group membership, which decides the partitions that this instance owns.
 //! - `owner`: runs the scheduler of an owned partition.
@@ -45,6 +47,7 @@
 mod maintenance;
 mod metrics;
 mod node;
+mod overdue;
 mod owner;
 mod peaks;
 mod peer;
@@ -54,6 +57,7 @@
 pub mod supervisor;
 mod takeover;
 mod watch;
+mod worker_status;
 
 use std::future::Future;
 use std::sync::Arc;
--- a/fleet/src/log.rs
+++ b/fleet/src/log.rs
@@ -20,7 +20,7 @@
 use prometheus::IntCounterVec;
 use tokio::time::Instant;
 
-use crate::clock;
+use crate::{clock, overdue};
 
 /// Most attempts of one call in flight.
 const MAX_ATTEMPTS: usize = 4;
@@ -132,19 +132,23 @@
     /// is overdue, another read on a new connection checks what the log holds; the first answer to
     /// either counts.
     pub async fn follow(&self, part: Partition, from: u64, limits: ReadLimits) -> Followed {
-        let sent = clock::now().mono;
+        let (sent, sent_at) = (clock::now().mono, std::time::Instant::now());
         let timeout = limits.overdue_after + CHECK_TIMEOUT;
         let mut waiting = std::pin::pin!(self.client.read(part, from, limits.wait, timeout));
-        if let Ok(result) = tokio::time::timeout(limits.overdue_after, &mut waiting).await {
+        if let Some(result) = overdue::answer_within(&mut waiting, limits.overdue_after).await {
             return Followed::new(result, sent, limits.wait);
         }
         let checked = clock::now().mono;
         tokio::select! {
             result = &mut waiting => Followed::new(result, sent, limits.wait),
-            result = self.check(part, from) => Followed {
-                silent_for: Some(clock::now().mono.saturating_sub(sent)),
-                ..Followed::new(result, checked, Duration::ZERO)
-            },
+            result = self.check(part, from) => {
+                // Other connections may be as silent as the one of the first read.
+                self.client.close_idle_since(sent_at);
+                Followed {
+                    silent_for: Some(clock::now().mono.saturating_sub(sent)),
+                    ..Followed::new(result, checked, Duration::ZERO)
+                }
+            }
         }
     }
 
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -12,10 +12,11 @@
 use oriole_platform::log::{Error, ReadResult};
 use oriole_platform::worker::WorkerClient;
 use oriolewall::advice::StepKey;
+use oriolewall::clock::Now;
 use oriolewall::id::{InstanceId, PoolId, TeamId};
 use oriolewall::inquiry::Holding;
 use oriolewall::job_record::{JobKey, QueueId};
-use oriolewall::order::{ContactId, OrderOutcome, WorkerStatus};
+use oriolewall::order::{ContactId, OrderOutcome};
 use oriolewall::query::JobStatus;
 use oriolewall::quota;
 use oriolewall::resources::Resources;
@@ -29,6 +30,7 @@
 
 use crate::node::Node;
 use crate::takeover::{apply_requests, follow_requests, set_epoch, still_owned, take_over};
+use crate::worker_status::Fetched;
 use crate::{caps, clock, coordinator, peer, watch};
 
 /// Time limit of a call to the log.
@@ -69,7 +71,7 @@
     /// time there was none, or the call failed.
     OwnershipChecked(Generation, Result<Duration, Error>),
     /// A worker answered a status request under a contact, or the request failed.
-    StatusReceived(InstanceId, ContactId, Result<WorkerStatus, OrderOutcome>),
+    StatusReceived(InstanceId, ContactId, Fetched),
     /// An order to start a run was answered or failed.
     StartAnswered(InstanceId, RunKey, ContactId, OrderOutcome),
     /// An order to stop a run or to change its speed was answered or failed.
@@ -267,8 +269,7 @@
             Event::WorkerListChanged => self.refresh_workers(),
             Event::PartitionListed { since, sent } => self.partition_listed(since, sent),
             Event::OwnershipChecked(since, result) => self.ownership_checked(since, result),
-            Event::StatusReceived(id, contact, Ok(status)) => self.scheduler.status_received(now, &id, contact, status),
-            Event::StatusReceived(id, contact, Err(answer)) => self.scheduler.status_failed(now, &id, contact, answer),
+            Event::StatusReceived(id, contact, fetched) => self.status_received(now, &id, contact, fetched),
             Event::StartAnswered(id, key, contact, answer) => self.scheduler.start_answered(now, &id, &key, contact, answer),
             Event::OrderAnswered(id, contact, answer) => self.scheduler.order_answered(&id, contact, answer),
             Event::AdviceReceived(step, Some(advice)) => self.scheduler.advice_received(now, step, advice.approved, advice.validity),
@@ -312,6 +313,26 @@
         }
     }
 
+    /// Handles the answer to a status request. If a connection to one worker was silent, those to the
+    /// others may be, which idle workers would show only when the first order to them is lost.
+    fn status_received(&mut self, now: Now, id: &InstanceId, contact: ContactId, fetched: Fetched) {
+        match fetched.status {
+            Ok(status) => self.scheduler.status_received(now, id, contact, status),
+            Err(answer) => self.scheduler.status_failed(now, id, contact, answer),
+        }
+        let Some(sent) = fetched.silent_since else {
+            return;
+        };
+        self.scheduler.status_resent(now, id, contact);
+        self.workers.values().for_each(|it| it.close_idle_since(sent));
+        self.node.metrics.silent_reads.with_label_values(&["status", "read anew"]).inc();
+        let silent_ms = sent.elapsed().as_millis() as u64;
+        self.node.decision_log.write(
+            "silent_read",
+            json!({ "name": "worker", "call": "status", "worker": id, "silent_ms": silent_ms, "outcome": "read anew" }),
+        );
+    }
+
     /// Confirms the ownership by an answer of the group. If another owner may have held the
     /// partition before that answer, asks the log instead. Leases are renewed meanwhile, as long as
     /// the last confirmation allows.
--- a/fleet/tests/test_soak/link.rs
+++ b/fleet/tests/test_soak/link.rs
@@ -31,6 +31,8 @@
     pub(crate) silent_before: Option<Instant>,
     /// The same only for those on which the instance waits for records of the log.
     pub(crate) waiting_reads_silent_before: Option<Instant>,
+    /// Connections opened before this time take no further call; one that is open is answered.
+    pub(crate) no_calls_before: Option<Instant>,
 }
 
 /// Connection of a call.
@@ -47,6 +49,7 @@
         until: Duration::ZERO,
         silent_before: None,
         waiting_reads_silent_before: None,
+        no_calls_before: None,
     };
 
     /// Whether nothing more arrives on a connection.
--- a/fleet/tests/test_soak/scenario.rs
+++ b/fleet/tests/test_soak/scenario.rs
@@ -13,7 +13,7 @@
 use crate::checker::{Job, Step};
 use crate::link::Mode;
 use crate::process::Instance;
-use crate::site::{Faults, INSTANCES, LOG, POOLS, Site};
+use crate::site::{Faults, INSTANCES, LOG, POOLS, Site, WORKERS};
 use crate::traffic::{self, Callers};
 use crate::{log, process};
 
@@ -40,10 +40,15 @@
 
     /// The same for a site of another kind. Nothing is disturbed.
     pub(crate) async fn start_with(name: &str, faults: Faults) -> Scenario {
+        Scenario::start_with_settings(name, faults, &[]).await
+    }
+
+    /// The same with other values of some settings.
+    pub(crate) async fn start_with_settings(name: &str, faults: Faults, changes: &[(&'static str, String)]) -> Scenario {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder can be created");
         let (site, log_ports, _pauses) = Site::start(0, Duration::ZERO, faults).await;
-        let instance = |(number, port): (usize, &u16)| Instance::new(&folder, number, *port, log::PARTS);
+        let instance = |(number, port): (usize, &u16)| Instance::with_changes(&folder, number, *port, log::PARTS, changes);
         let mut fleet: Vec<Instance> = log_ports.iter().enumerate().map(instance).collect();
         let callers = Callers::new(site.clone(), fleet.iter().map(|it| it.caller_port));
         fleet.iter_mut().for_each(Instance::start);
@@ -78,6 +83,17 @@
         self.site.silence(instance, LOG);
     }
 
+    /// Silences all open connections of an instance to workers from their next calls on.
+    pub(crate) fn silence_workers(&self, instance: usize) {
+        (0..WORKERS).for_each(|it| self.site.silence_next_calls(instance, it));
+    }
+
+    /// Lines of the instances' decision logs that contain both texts.
+    pub(crate) fn lines_with(&self, text: &str, other: &str) -> Vec<String> {
+        let lines = self.fleet.iter().flat_map(|it| it.lines_with(text));
+        lines.filter(|it| it.contains(other)).collect()
+    }
+
     /// Cuts an instance off from the log for a time.
     pub(crate) fn cut_log(&self, instance: usize, time: Duration) {
         self.site.set_link(instance, LOG, Mode::Cut, 1.0, time);
--- a/fleet/tests/test_soak/silent_connections.rs
+++ b/fleet/tests/test_soak/silent_connections.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::scenario::{CONFIG_TIME, Scenario};
+use crate::site::Faults;
 
 /// Time after which an accepted job is known (`visible_ms`).
 const VISIBLE_TIME: Duration = Duration::from_millis(3000);
@@ -118,3 +119,25 @@
     tokio::time::sleep(CONFIG_TIME * 4).await;
     assert_eq!(scenario.get(0, "/added/").await, 200);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn running_tasks_keep_their_leases_while_the_connections_to_their_workers_are_silent() {
+    // A status request that renews leases was given up after 2.4 s, later than the leases end that
+    // the request before it had renewed.
+    for lease_max in [6_000, 10_000] {
+        let changes = [("lease_max_ms", lease_max.to_string())];
+        let scenario = Scenario::start_with_settings(&format!("silent-workers-{lease_max}"), Faults::Standard, &changes).await;
+        let owner = scenario.settled_owner_of(0).await;
+        let job = "00000000000000b1";
+        assert_eq!(scenario.submit_tasks(0, 1, job, 300, Duration::from_secs(12)).await, 200);
+        for _ in 0..2 {
+            // Another point of the interval of status requests in each round.
+            tokio::time::sleep(Duration::from_millis(1700)).await;
+            scenario.silence_workers(owner);
+        }
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        let lapsed = scenario.lines_with(job, "\"lapsed\"");
+        assert!(lapsed.is_empty(), "{lapsed:#?}");
+        scenario.check_promises(job);
+    }
+}
--- a/fleet/tests/test_soak/site.rs
+++ b/fleet/tests/test_soak/site.rs
@@ -266,6 +266,12 @@
         self.disturb(instance, Duration::ZERO);
     }
 
+    /// Silences the open connections of a link from their next call on.
+    pub(crate) fn silence_next_calls(&self, instance: usize, target: usize) {
+        self.lock().links[instance][target].no_calls_before = Some(Instant::now());
+        self.disturb(instance, Duration::ZERO);
+    }
+
     /// Silences the open connections on which an instance waits for records of the log.
     pub(crate) fn silence_waiting_reads(&self, instance: usize) {
         self.lock().links[instance][LOG].waiting_reads_silent_before = Some(Instant::now());
@@ -290,6 +296,10 @@
             opened: request.opened,
             waits_for_records: request.number("waitMs") != 0,
         };
+        let no_calls_before = self.lock().links[instance][target].no_calls_before;
+        if no_calls_before.is_some_and(|it| connection.opened < it) {
+            return pending().await;
+        }
         let mode = self.mode(instance, target, connection);
         match mode {
             Mode::Cut => return pending().await,
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -218,6 +218,8 @@
         contact: ContactId,
         /// Task and number of the run.
         key: RunKey,
+        /// Whether the run has not ended since the same order was sent, which may not have arrived.
+        is_repeated: bool,
     },
     /// Order a worker to change the speed of a run.
     SetSpeed {
@@ -250,6 +252,9 @@
         lease_until_ms: Option<u64>,
         /// How long the worker may wait for a run to end before it answers.
         wait: Duration,
+        /// Time after which the request is sent again on a new connection if there is no answer;
+        /// `None` if it renews no leases, so that nothing hangs on it.
+        overdue_after: Option<Duration>,
     },
     /// Write a decision to the decision log.
     LogDecision(Decision),
--- a/lib/src/polling.rs
+++ b/lib/src/polling.rs
@@ -8,6 +8,7 @@
 use crate::id::InstanceId;
 use crate::order::Action;
 use crate::scheduler::Scheduler;
+use crate::time_limits::STATUS_OVERDUE_AFTER;
 use crate::worker::{RunPhase, Worker};
 
 /// Longest time for which a worker delays its answer to a status request until a run ends.
@@ -70,6 +71,7 @@
                 continue;
             }
             for (key, run) in &mut worker.runs {
+                let is_repeated = run.stop_sent_at.is_some();
                 let due = run.stop_sent_at.is_none_or(|it| it + STOP_RETRY <= now.mono);
                 if run.phase == RunPhase::Stopping && due {
                     run.stop_sent_at = Some(now.mono);
@@ -77,6 +79,7 @@
                         worker: worker.listed.id.clone(),
                         contact: worker.contact,
                         key: key.clone(),
+                        is_repeated,
                     });
                 }
             }
@@ -89,6 +92,7 @@
         let is_committing = self.in_flight_commit.is_some() || !self.remainder.is_empty();
         let commit_delayed = is_committing && self.remainder.since + STATUS_INTERVAL_COMMIT_DELAYED < now.mono;
         let may_renew = !self.ownership_left(now).is_zero();
+        let longest_wait = self.limits.status_wait().min(STATUS_WAIT);
         for worker in self.workers.values_mut() {
             let may_have_runs = worker.runs.values().any(|it| it.phase != RunPhase::Intended);
             // Only an answer makes a worker take tasks again, and none without runs would be asked.
@@ -116,8 +120,8 @@
             }
             let is_throttled = worker.speed_percent < 100;
             let wait = match worker.is_observed && may_have_runs && !commit_delayed {
-                true if is_throttled => STATUS_WAIT_THROTTLED,
-                true => STATUS_WAIT,
+                true if is_throttled => STATUS_WAIT_THROTTLED.min(longest_wait),
+                true => longest_wait,
                 false => Duration::ZERO,
             };
             self.actions.push(Action::FetchStatus {
@@ -127,6 +131,7 @@
                 ack_cursor: if worker.is_observed { worker.last_end_recorded } else { 0 },
                 lease_until_ms,
                 wait,
+                overdue_after: lease_until_ms.map(|_| wait + STATUS_OVERDUE_AFTER),
             });
         }
     }
--- a/lib/src/time_limits.rs
+++ b/lib/src/time_limits.rs
@@ -3,12 +3,17 @@
 use std::time::Duration;
 
 use crate::clock::Now;
-use crate::scheduler::START_EXPIRY;
+use crate::scheduler::{MIN_STATUS_INTERVAL, START_EXPIRY};
 
 /// Upper bound of the true time in which a worker's clock advances by one second.
 /// The platform guarantees clocks at most 2% slow; the remaining 1% covers rounding.
 const SLOWEST_CLOCK: f64 = 1.03;
 
+/// Time beyond its wait after which the answer to a status request is overdue.
+pub(crate) const STATUS_OVERDUE_AFTER: Duration = Duration::from_millis(350);
+/// Time reserved for a status request that is sent again: a new connection, and the owner's delay.
+const STATUS_RESEND_TIME: Duration = Duration::from_millis(250);
+
 /// Time limits for leases, for ownership and for the stopping of tasks.
 #[derive(Clone, Copy, Debug)]
 pub struct TimeLimits {
@@ -24,6 +29,13 @@
 }
 
 impl TimeLimits {
+    /// Longest time for which a worker may wait before it answers a request that renews leases. If the
+    /// next request is not answered, it is sent again before the leases end that this one renews.
+    pub(crate) fn status_wait(&self) -> Duration {
+        let reserve = MIN_STATUS_INTERVAL + STATUS_OVERDUE_AFTER + STATUS_RESEND_TIME;
+        self.lease.saturating_sub(reserve) / 2
+    }
+
     /// True time after which a lease has ended even on the slowest clock.
     pub(crate) fn lease_upper_bound(&self) -> Duration {
         self.lease.mul_f64(SLOWEST_CLOCK)
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -150,6 +150,14 @@
         self.log_decision(decision);
     }
 
+    /// Handles a status request under a contact that was answered only when it was sent again. The
+    /// first one may be carried out late, by an incarnation that knows no later contact.
+    pub fn status_resent(&mut self, now: Now, id: &InstanceId, contact: ContactId) {
+        if self.workers.get(id).is_some_and(|it| it.contact == contact) {
+            self.begin_contact(now, id);
+        }
+    }
+
     /// Handles a status request that failed.
     pub fn status_failed(&mut self, now: Now, id: &InstanceId, contact: ContactId, outcome: OrderOutcome) {
         if outcome == OrderOutcome::Refused(Refusal::Fenced) {
--- a/lib/tests/pool_world/calls.rs
+++ b/lib/tests/pool_world/calls.rs
@@ -53,7 +53,7 @@
                     self.send(now_ms + order_delay_ms, received_by, message);
                 }
             }
-            Action::Stop { worker, contact, key } => {
+            Action::Stop { worker, contact, key, .. } => {
                 if !lost || late {
                     let received_by = self.received_by(late, &worker);
                     let message = Message {
--- a/lib/tests/test_scheduler.rs
+++ b/lib/tests/test_scheduler.rs
@@ -6,12 +6,14 @@
 use oriolewall::catalog::{Queue, Team};
 use oriolewall::id::{InstanceId, TeamId};
 use oriolewall::job_record::{Request, Submission, TaskState};
-use oriolewall::order::{ActiveRun, OrderOutcome, Refusal, RunOutcome, WorkerStatus};
+use oriolewall::order::{Action, ActiveRun, OrderOutcome, Refusal, RunOutcome, WorkerStatus};
 use oriolewall::query::JobStatus;
 use oriolewall::resources::Resources;
+use oriolewall::scheduler::Scheduler;
 use oriolewall::spec::JobSpec;
+use oriolewall::time_limits::TimeLimits;
 use oriolewall::worker::RunKey;
-use testutils::owner::{LEASE, OwnerFixture, run_end, step, submit, task, time_at, worker};
+use testutils::owner::{LEASE, OwnerFixture, run_end, step, submit, task, time_at, time_limits, worker};
 
 #[test]
 fn no_run_starts_before_its_placement_is_logged() {
@@ -451,3 +453,37 @@
     fixture.report_status(&lost.worker, 700, vec![lost.key], vec![]);
     assert_eq!(fixture.owner.queued_jobs(&queue), 0);
 }
+
+#[test]
+fn a_status_request_is_sent_again_before_the_leases_end_that_the_one_before_renewed() {
+    // Running tasks lapsed: a request on a silent connection was given up after 2.4 s, whatever the
+    // length of the leases.
+    for lease_ms in [1000, 1800, 3600, 4500, 6000] {
+        let mut fixture = OwnerFixture::new(vec![worker("w1")]);
+        let limits = TimeLimits {
+            lease: Duration::from_millis(lease_ms),
+            ..time_limits()
+        };
+        fixture.owner = Scheduler::new(limits, fixture.now, fixture.now.mono);
+        fixture.refresh_config();
+        fixture.advance_ms(50);
+        fixture.report_status("w1", 500, vec![], vec![]);
+        fixture.add_request("job", submit("", vec![step(1, 1000)]));
+        fixture.advance_ms(100);
+        let run = fixture.starts[0].key.clone();
+        fixture.report_status("w1", 700, vec![run], vec![]);
+        fixture.pause_ms(60);
+        let actions = fixture.owner.poll(fixture.now);
+        let limits = actions.iter().find_map(|it| match it {
+            Action::FetchStatus { wait, overdue_after, .. } => Some((*wait, *overdue_after)),
+            _ => None,
+        });
+        let (wait, overdue_after) = limits.expect("the leases are renewed");
+        let overdue_after = overdue_after.expect("the leases hang on the answer");
+        let sent_again = wait + Duration::from_millis(60) + overdue_after;
+        assert!(
+            sent_again + Duration::from_millis(200) <= Duration::from_millis(lease_ms),
+            "{lease_ms}: {wait:?}"
+        );
+    }
+}
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -77,7 +77,8 @@
     }
 }
 
-fn time_limits() -> TimeLimits {
+/// Time limits of the owners.
+pub fn time_limits() -> TimeLimits {
     TimeLimits {
         lease: LEASE,
         lease_max: 2 * LEASE,
