callers: refuse an unknown job with its true cause

What callers saw: 503 `owner_silent` for a job while its owner did answer, that it may not have read the job's submission yet. On-call would have looked for an owner that does not answer.

Cause: the owner's answer that it cannot tell was that of an owner that is not ready.

Change: it is an answer of its own, and the cause is `requests_outdated`. An owner takes a changed `cancel_ms` with its next read, not only with its next takeover. `silent_read` names a check that found the records expired as answered. Comments state the reason without figures of a site.

--- a/fleet/src/caller_api.rs
+++ b/fleet/src/caller_api.rs
@@ -246,7 +246,7 @@
         }
         JobLocation::Quarantined => return quarantined_response(),
         // The owner may not have read the job's submission yet.
-        JobLocation::NotFound | JobLocation::Unknown => {}
+        JobLocation::NotFound | JobLocation::Unknown(_) => {}
     }
     let at_ms = clock::now().wall_ms();
     let origin = target.history.origin(&target.queue);
@@ -358,10 +358,8 @@
             JobLocation::Found(_, status) => return server::json_response(StatusCode::OK, caller::status_body(status)),
             JobLocation::NotFound => return error_response(StatusCode::GONE, "there is no such job"),
             JobLocation::Quarantined => return quarantined_response(),
-            JobLocation::Unknown if refuse_at <= Instant::now() + RETRY_DELAY => {
-                return unavailable_response(Cause::OwnerSilent);
-            }
-            JobLocation::Unknown => tokio::time::sleep(RETRY_DELAY).await,
+            JobLocation::Unknown(cause) if refuse_at <= Instant::now() + RETRY_DELAY => return unavailable_response(cause),
+            JobLocation::Unknown(_) => tokio::time::sleep(RETRY_DELAY).await,
         }
     }
 }
@@ -380,8 +378,8 @@
     NotFound,
     /// An owner has the job and cannot handle it.
     Quarantined,
-    /// An owner that may have the job did not answer.
-    Unknown,
+    /// An owner that may have the job did not answer, or cannot tell.
+    Unknown(Cause),
 }
 
 /// Searches for a job at the owner of its queue's pool, then at all other owners, as
@@ -395,7 +393,7 @@
     let mut parts: Vec<PartitionId> = pools.map(|it| node.partition_of(it)).collect();
     parts.sort_unstable_by_key(|it| (*it != likely_part, *it));
     parts.dedup();
-    let mut unknown = false;
+    let mut doubt = None;
     for part in parts {
         let call = Call::Status {
             part,
@@ -406,13 +404,21 @@
             Reply::Status(Some(status)) => return JobLocation::Found(part, status),
             Reply::Status(None) => {}
             Reply::Quarantined => return JobLocation::Quarantined,
-            // While the likely owner does not answer, the others cannot prove that the job
-            // does not exist, so do not query them.
-            _ if part == likely_part => return JobLocation::Unknown,
-            _ => unknown = true,
+            reply => {
+                let cause = match reply {
+                    Reply::Outdated => Cause::OutdatedRequests,
+                    _ => Cause::OwnerSilent,
+                };
+                // While the likely owner cannot tell, the others cannot prove that the job does not
+                // exist, so do not query them.
+                if part == likely_part {
+                    return JobLocation::Unknown(cause);
+                }
+                doubt = Some(cause);
+            }
         }
     }
-    if unknown { JobLocation::Unknown } else { JobLocation::NotFound }
+    doubt.map_or(JobLocation::NotFound, JobLocation::Unknown)
 }
 
 /// Responds with the number of waiting jobs of a queue.
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -260,6 +260,7 @@
         let now = clock::now();
         match event {
             Event::RequestsRead(batch, as_of) => {
+                self.scheduler.set_cancel_time(self.node.bounds.load().cancel);
                 self.scheduler.requests_read(as_of);
                 apply_requests(&self.node, self.part, &mut self.scheduler, batch, |scheduler, id, request| {
                     scheduler.add_request(now, id, request);
@@ -405,7 +406,7 @@
         let status: Option<JobStatus> = self.scheduler.job_status(id, team);
         let visible = self.node.bounds.load().visible;
         if status.is_none() && !self.scheduler.requests().may_deny(clock::now().mono, visible) {
-            return Reply::Unavailable;
+            return Reply::Outdated;
         }
         Reply::Status(status)
     }
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -192,7 +192,8 @@
     let Some(silent_for) = read.silent_for else {
         return;
     };
-    let outcome = if read.result.is_ok() { "read anew" } else { "failed" };
+    let is_answered = matches!(read.result, Ok(_) | Err(Error::Expired { .. }));
+    let outcome = if is_answered { "read anew" } else { "failed" };
     node.metrics.silent_reads.with_label_values(&[call, outcome]).inc();
     node.decision_log.write(
         "silent_read",
--- a/lib/src/job_record.rs
+++ b/lib/src/job_record.rs
@@ -372,8 +372,8 @@
         most.unwrap_or(0).min(run)
     }
 
-    /// Prepares the next run of the gang of a task: its members share the count of failures and a checkpoint, as
-    /// that of any member is valid for all.
+    /// Prepares the next run of the gang of a task: its members share the count of failures, and a
+    /// checkpoint, as that of any member is valid for all.
     pub(crate) fn begin_gang_run(&mut self, member: &TaskKey, run: u32) {
         let (turn, step) = (member.turn, usize::from(member.step));
         let fails = self.gang_failures(turn, step, run.saturating_sub(1));
--- a/lib/src/log_view.rs
+++ b/lib/src/log_view.rs
@@ -18,8 +18,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Shortest time for which a read waits, so that an outdated view does not cause a stream of reads.
 const MIN_WAIT: Duration = Duration::from_millis(100);
-/// Time after the wait at which an answer is overdue. The log takes a few milliseconds, and 0.3 s
-/// while it is 79 times as slow as usual.
+/// Time after the wait at which an answer is overdue. It is far above the log's usual answer time, so
+/// that few answers are overdue that are only slow.
 const OVERDUE_AFTER: Duration = Duration::from_millis(350);
 /// Time reserved for the check: a new connection, a lost answer and what follows from the records.
 const CHECK_TIME: Duration = Duration::from_millis(400);
@@ -73,6 +73,7 @@
     /// Whether a caller may be told that something does not exist: the answer still holds when it
     /// arrives.
     pub fn may_deny(&self, now: Duration, promise: Duration) -> bool {
+        // A short promise leaves a part of its time to the reads.
         ANSWER_TIME.min(promise / 2) <= self.time_left(now, promise)
     }
 }
--- a/lib/src/polling.rs
+++ b/lib/src/polling.rs
@@ -31,8 +31,8 @@
         self.restart_inquiries(now);
         self.send_questions(now);
         self.expire_leases(now);
-        // Placements take effect with the next commit, so making them earlier gains nothing. None is
-        // started while cancels may be unknown.
+        // Placements take effect with the next commit, so making them earlier gains nothing. While
+        // cancels may be unknown none would be started, so no task is moved away either.
         if self.can_commit(now) && !self.cancels_known_for(now).is_zero() {
             self.candidates = Candidates::collect(now.mono, self.workers.values());
             self.evict(now);
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -33,6 +33,8 @@
     LogBusy(Duration),
     /// The owner of the pool does not answer, as while a pool changes hands.
     OwnerSilent,
+    /// The owner does not know the job, and may not know all jobs that it has to know.
+    OutdatedRequests,
 }
 
 impl Cause {
@@ -45,6 +47,7 @@
             Cause::LogSilent(_) => "log_silent",
             Cause::LogBusy(_) => "log_busy",
             Cause::OwnerSilent => "owner_silent",
+            Cause::OutdatedRequests => "requests_outdated",
         }
     }
 
@@ -54,7 +57,9 @@
         let expected = match self {
             Cause::LogSilent(outage) => outage,
             Cause::LogBusy(drain) => drain,
-            Cause::NoConfiguration | Cause::NoHistory | Cause::OutdatedConfiguration | Cause::OwnerSilent => RETURN_RANGE.0,
+            Cause::NoConfiguration | Cause::NoHistory | Cause::OutdatedConfiguration | Cause::OwnerSilent | Cause::OutdatedRequests => {
+                RETURN_RANGE.0
+            }
         };
         let spread = 1.0 + RETURN_SPREAD * (2.0 * random - 1.0);
         expected.clamp(RETURN_RANGE.0, RETURN_RANGE.1).mul_f64(spread)
--- a/lib/src/rpc.rs
+++ b/lib/src/rpc.rs
@@ -200,4 +200,7 @@
     Pace(AppendReport),
     /// Answer to [`Call::ReportDemand`].
     Allowance(Allowance),
+    /// There is no such job among the requests that the owner has read, and it may not have read all
+    /// that it has to know.
+    Outdated,
 }
