soak: outdated views after a pause, a cut, a kill and a reassignment

Tests of what an instance says while its view of the log is outdated because of what happened to itself. On three of them fail: an owner that was paused denies a job that was accepted meanwhile (410), owners that are cut off from the log deny one that they have not read (410), and an instance that was paused denies a queue that was added meanwhile (404). A job that its owner had not read when it was killed, or when the partitions were reassigned, was known in time before as well; these two guard the views of new owners.

--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -12,6 +12,7 @@
 //! - `traffic`: callers.
 //! - `scenario`: runs in which given events happen in a given order.
 //! - `silent_connections`: promises while open connections to the log are silent.
+//! - `outdated_views`: promises after instances were paused, cut off, killed or replaced.
 //! - `faults`: the faults.
 
 mod checker;
@@ -19,6 +20,7 @@
 mod http;
 mod link;
 mod log;
+mod outdated_views;
 mod process;
 mod scenario;
 mod silent_connections;
--- a/fleet/tests/test_soak/process.rs
+++ b/fleet/tests/test_soak/process.rs
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Has the process run again that was paused.
+    pub(crate) fn continue_paused(&self) {
+        if let Some(child) = &self.child {
+            let _ = kill_process(Pid::from_child(child), Signal::CONT);
+        }
+    }
+
     /// Has the process run again that was paused, stopped or asked to end.
     pub(crate) fn recover(&mut self) {
         if self.is_stopping {
--- a/fleet/tests/test_soak/scenario.rs
+++ b/fleet/tests/test_soak/scenario.rs
@@ -104,6 +104,12 @@
         self.callers.call_instance(instance, Method::GET, path, &Value::Null).await.0
     }
 
+    /// Reads a path at an instance. Returns the status of the answer and the error that it names.
+    pub(crate) async fn get_error(&self, instance: usize, path: &str) -> (u16, String) {
+        let (status, body) = self.callers.call_instance(instance, Method::GET, path, &Value::Null).await;
+        (status, body["error"].as_str().unwrap_or_default().to_owned())
+    }
+
     /// Cancels a job at an instance. Returns the status of the answer, 0 if there is none.
     pub(crate) async fn cancel(&self, instance: usize, queue: usize, id: &str) -> u16 {
         let path = format!("/q{queue}/{id}");
@@ -184,6 +190,23 @@
         self.fleet[instance].signal(signal);
     }
 
+    /// Has a paused instance run again.
+    pub(crate) fn continue_paused(&self, instance: usize) {
+        self.fleet[instance].continue_paused();
+    }
+
+    /// Starts an instance that was killed.
+    pub(crate) fn start_again(&mut self, instance: usize) {
+        self.fleet[instance].kill();
+        self.fleet[instance].start();
+    }
+
+    /// Reassigns all partitions at once, without the holders' release.
+    pub(crate) fn reassign_partitions(&self) {
+        let state = &mut *self.site.lock();
+        state.log.reassign(&mut state.rng);
+    }
+
     /// Ends an instance at once, has the log drop all records that have newer ones, and starts the
     /// instance again.
     pub(crate) async fn restart_without_history(&mut self, instance: usize) {
