tests: instances listen on ports that nothing else is given

Cause: the tests that run an instance in their own process asked the system for four ports, gave them back and let the instance listen on them later. Meanwhile the system gave one of them to a connection or listener of another test. `run` returned that error, which the test dropped, and then waited for an instance that was not there.

Change: all tests take the ports of instances from `free_port` of the soak, which has moved to fleet/tests/ports: they are below those that the system gives away. The tests fail at once if an instance cannot run. No check or bound is changed.

The test programs of `cargo test` run one after the other.

--- a/fleet/tests/test_clients/main.rs
+++ b/fleet/tests/test_clients/main.rs
@@ -16,6 +16,8 @@
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../test_soak/log.rs"]
 mod log;
+#[path = "../ports/mod.rs"]
+mod ports;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../test_soak/process.rs"]
 mod process;
--- a/fleet/tests/test_clients/site.rs
+++ b/fleet/tests/test_clients/site.rs
@@ -13,6 +13,7 @@
 
 use crate::http::{self, Answer, Request};
 use crate::log::{self, Log, OPERATORS};
+use crate::ports::free_port;
 use crate::process::{self, Instance};
 
 /// Time within which the instance gets ready, and within which a request is answered.
@@ -61,7 +62,7 @@
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("the folder can be created");
         let log_port = start_log().await;
-        let (peer_port, metrics_port) = (process::free_port(), process::free_port());
+        let (peer_port, metrics_port) = (free_port(), free_port());
         let changes = [
             ("peers", format!("127.0.0.1:{peer_port}")),
             ("metrics", format!("127.0.0.1:{metrics_port}")),
--- a/fleet/tests/test_group.rs
+++ b/fleet/tests/test_group.rs
@@ -1,6 +1,8 @@
 //! What an owner does when the group's answers leave open whether another member has owned its
 //! partition meanwhile.
 
+mod ports;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -217,7 +219,7 @@
     // Another coordinator may have granted the same share of a cap.
     let (log, addr) = FakeLog::start().await;
     let mut settings = settings(addr);
-    settings.peer_addr = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    settings.peer_addr = SocketAddr::from(([127, 0, 0, 1], ports::free_port()));
     let peer_addr = settings.peer_addr;
     let instance = tokio::spawn(oriole_fleet::run(settings, PathBuf::from("none").into()));
     assert_eq!(log.wait_for_appends(1).await, [1]);
--- a/fleet/tests/test_moved_queue.rs
+++ b/fleet/tests/test_moved_queue.rs
@@ -1,6 +1,8 @@
 //! Where an instance stores requests for a queue that has moved to another pool, and when an owner
 //! admits its jobs.
 
+mod ports;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -215,11 +217,7 @@
 /// Starts an instance and returns its addresses for callers, for the check of its readiness and
 /// for other instances.
 async fn start_instance_with_addrs(log_addr: SocketAddr) -> [SocketAddr; 3] {
-    let mut addrs = Vec::new();
-    for _ in 0..4 {
-        addrs.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
-    }
-    let addrs: Vec<SocketAddr> = addrs.into_iter().map(|it| it.local_addr().unwrap()).collect();
+    let addrs = [(); 4].map(|()| SocketAddr::from(([127, 0, 0, 1], ports::free_port())));
     let text = include_str!("../../examples/fleet.ini")
         .replace("127.0.0.1:7801", &addrs[0].to_string())
         .replace("127.0.0.1:7802", &addrs[1].to_string())
@@ -228,7 +226,10 @@
         .replace("log = 127.0.0.1:7700", &format!("log = {log_addr}"));
     let settings = Settings::parse("fleet.ini", &text).unwrap();
     let readiness_addr = settings.readiness_addr;
-    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("fleet.ini").into()));
+    tokio::spawn(async move {
+        let ended = oriole_fleet::run(settings, PathBuf::from("fleet.ini").into()).await;
+        ended.expect("the instance runs");
+    });
     [addrs[0], readiness_addr, addrs[2]]
 }
 
--- a/fleet/tests/test_peaks.rs
+++ b/fleet/tests/test_peaks.rs
@@ -1,5 +1,7 @@
 //! What a coordinator does with the demand peaks that an earlier one recorded.
 
+mod ports;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -117,7 +119,7 @@
 /// Starts an instance. Returns the address for other instances.
 async fn start_instance(platform_addr: SocketAddr, forecasts_peaks: bool) -> SocketAddr {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let peer_addr = TcpListener::bind(any).await.unwrap().local_addr().unwrap();
+    let peer_addr = SocketAddr::from(([127, 0, 0, 1], ports::free_port()));
     let settings = Settings {
         name: "entry".to_owned(),
         zone: Arc::from("za"),
@@ -149,7 +151,10 @@
         move_time: Duration::from_secs(2),
         learns: true,
     };
-    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("none").into()));
+    tokio::spawn(async move {
+        let ended = oriole_fleet::run(settings, PathBuf::from("none").into()).await;
+        ended.expect("the instance runs");
+    });
     peer_addr
 }
 
--- a/fleet/tests/test_quarantine.rs
+++ b/fleet/tests/test_quarantine.rs
@@ -1,5 +1,7 @@
 //! An instance that owns a partition with a record that it cannot read.
 
+mod ports;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -126,11 +128,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_job_whose_record_cannot_be_read_is_neither_denied_nor_admitted_anew() {
     let log_addr = start_log().await;
-    let mut addrs = Vec::new();
-    for _ in 0..4 {
-        addrs.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
-    }
-    let addrs: Vec<SocketAddr> = addrs.into_iter().map(|it| it.local_addr().unwrap()).collect();
+    let addrs = [(); 4].map(|()| SocketAddr::from(([127, 0, 0, 1], ports::free_port())));
     let text = include_str!("../../examples/fleet.ini")
         .replace("127.0.0.1:7801", &addrs[0].to_string())
         .replace("127.0.0.1:7802", &addrs[1].to_string())
@@ -139,7 +137,10 @@
         .replace("parts = 16", "parts = 1")
         .replace("log = 127.0.0.1:7700", &format!("log = {log_addr}"));
     let settings = Settings::parse("fleet.ini", &text).unwrap();
-    tokio::spawn(oriole_fleet::run(settings, PathBuf::from("fleet.ini").into()));
+    tokio::spawn(async move {
+        let ended = oriole_fleet::run(settings, PathBuf::from("fleet.ini").into()).await;
+        ended.expect("the instance runs");
+    });
     let path = |id: &str| format!("/queue/{id}");
     for _ in 0..200 {
         if send(addrs[0], "GET", &path(GOOD)).await.0 == 200 {
--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -21,6 +21,8 @@
 mod link;
 mod log;
 mod outdated_views;
+#[path = "../ports/mod.rs"]
+mod ports;
 mod process;
 mod scenario;
 mod silent_connections;
--- a/fleet/tests/test_soak/process.rs
+++ b/fleet/tests/test_soak/process.rs
@@ -1,20 +1,15 @@
 //! Instances of the program as processes, which are stopped when their owner is dropped.
 
 use std::fs::File;
-use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
 
-const EXAMPLE: &str = include_str!("../../../examples/fleet.ini");
-/// Ports below those that the system gives to outgoing connections, which could take the port
-/// of an instance while it restarts.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
+use crate::ports::free_port;
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+const EXAMPLE: &str = include_str!("../../../examples/fleet.ini");
 
 /// An instance that can be stopped, paused and started again.
 #[derive(Debug)]
@@ -29,20 +24,6 @@
     is_stopping: bool,
 }
 
-/// Returns a port that is free now and that no other instance of this test has.
-pub(crate) fn free_port() -> u16 {
-    let start = (std::process::id() % 16 * 1200) as u16;
-    loop {
-        let offset = (start + NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % (PORTS.end - PORTS.start);
-        let port = PORTS.start + offset;
-        // A listener of this process would be inherited by an instance that is started meanwhile,
-        // and the port would not be free until that one has executed the program.
-        if TcpStream::connect(("127.0.0.1", port)).is_err() {
-            return port;
-        }
-    }
-}
-
 impl Instance {
     /// Writes the settings of an instance into a folder.
     pub(crate) fn new(folder: &Path, number: usize, log_port: u16, partitions: usize) -> Instance {
