soak: cut instances off from the log once all know the owner

Nothing was denied.

Cause: the test. Partition 3 of the first pool went from entry-2 to entry-1 at 404 ms, and the log was cut at 536 ms. An instance that owns nothing reads the list of owners every 2 s, so that entry-3 still called entry-2, which does not own the partition any more. Then the cause is that no owner answers; which one it would be is unknown without the log.

Change: before the disruption, the tests of this kind wait until every instance has found an earlier job of the pool, and so knows its owner. The check itself is as it was, and no instance is left out of it.

--- a/fleet/tests/test_soak/outdated_views.rs
+++ b/fleet/tests/test_soak/outdated_views.rs
@@ -15,11 +15,15 @@
 const TASK_TIME: Duration = Duration::from_millis(300);
 const JOB: &str = "00000000000000c7";
 const PATH: &str = "/q1/00000000000000c7";
+/// Path of the job by which the owner of the first pool was found.
+const FIRST_PATH: &str = "/q1/00000000000000a0";
 
-/// Starts instances of which one owns the first pool. Returns it and another one.
+/// Starts instances of which one owns the first pool, and all know it. Returns it and another one.
 async fn start(name: &str) -> (Scenario, usize, usize) {
     let scenario = Scenario::start(name).await;
     let owner = scenario.settled_owner_of(0).await;
+    // An instance without partitions may know an earlier owner for 2 s.
+    check_known(&scenario, FIRST_PATH).await;
     let other = scenario.instances().find(|it| *it != owner).expect("there are several");
     (scenario, owner, other)
 }
@@ -39,12 +43,12 @@
     answer.await
 }
 
-/// Waits until all instances know the job; none of them denies it until then.
-async fn check_known(scenario: &Scenario) {
+/// Waits until all instances know a job; none of them denies it until then.
+async fn check_known(scenario: &Scenario, path: &str) {
     for instance in scenario.instances() {
         let mut status = 0;
         for _ in 0..60 {
-            status = scenario.get(instance, PATH).await;
+            status = scenario.get(instance, path).await;
             assert_ne!(status, 410, "at entry-{instance}");
             if status == 200 {
                 break;
@@ -63,7 +67,7 @@
     submit(&scenario, other).await;
     tokio::time::sleep(PAUSE).await;
     assert_ne!(get_on_wake(&scenario, owner, PATH).await, 410);
-    check_known(&scenario).await;
+    check_known(&scenario, PATH).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -81,7 +85,7 @@
         assert_eq!(refusal, (503, "requests_outdated".to_owned()), "at entry-{instance}");
     }
     tokio::time::sleep(Duration::from_millis(2000)).await;
-    check_known(&scenario).await;
+    check_known(&scenario, PATH).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -92,7 +96,7 @@
     scenario.signal(owner, Signal::KILL);
     tokio::time::sleep(VISIBLE_TIME).await;
     scenario.start_again(owner);
-    check_known(&scenario).await;
+    check_known(&scenario, PATH).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -104,7 +108,7 @@
         scenario.reassign_partitions();
         tokio::time::sleep(VISIBLE_TIME / 3).await;
     }
-    check_known(&scenario).await;
+    check_known(&scenario, PATH).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
