log: a read whose answer is cut tells nothing of what follows

Cause: an answer of the log holds a page of records (1 MB). A read counted as one that knows all records that were in the log when it was sent, also if its answer ended at a page and the cancel was behind it. The owner went on to start tasks, and denied jobs, for up to 3 s after the page.

Why this works: the view of a partition is renewed once the records are known up to the end that a read has seen. While records are added faster than they are read, it is as current as the first read that was cut. The same for the configuration (404 and 401 by an older one), for the list of workers that a takeover waits for, and for the takeover's check that the configuration is the latest one, which compared the end of a page only.

--- a/fleet/src/log.rs
+++ b/fleet/src/log.rs
@@ -59,7 +59,7 @@
 pub struct Followed {
     /// The records, or why the read failed.
     pub result: Result<ReadResult, Error>,
-    /// Monotonic time up to which the records include all that were in the log.
+    /// Monotonic time as of which the result tells the end of the partition.
     pub as_of: Duration,
     /// Time for which the read that waited had no answer when another one gave the result; `None`
     /// if it was answered itself.
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -298,9 +298,9 @@
         clock::now().mono < confirmed + MEMBERSHIP_VALIDITY
     }
 
-    /// Records that all operators' records are known that the log held at a monotonic time.
-    pub(crate) fn renew_configuration(&self, as_of: Duration) {
-        self.configuration_view().renew(as_of);
+    /// Adds a read of operators' records to the view of the configuration; see [`View::add_read`].
+    pub(crate) fn add_configuration_read(&self, as_of: Duration, next: u64, end: u64) {
+        self.configuration_view().add_read(as_of, next, end);
     }
 
     /// Returns the limits of the next read of operators' records.
--- a/fleet/src/owner.rs
+++ b/fleet/src/owner.rs
@@ -54,7 +54,7 @@
 /// Input of an owner's event loop.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// Callers' requests were read, all that were in the log at this monotonic time.
+    /// Callers' requests were read; all are known that were in the log at this monotonic time.
     RequestsRead(ReadResult, Duration),
     /// The operators' configuration changed.
     CatalogChanged,
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -160,7 +160,7 @@
         let from = *read_up_to.borrow_and_update();
         let read = node.log.read(OPERATORS, from, CALL_TIMEOUT).await;
         let is_behind = match read {
-            Ok(batch) if batch.next <= *read_up_to.borrow() => return Some(node.catalog()),
+            Ok(batch) if batch.end.unwrap_or(batch.next) <= *read_up_to.borrow() => return Some(node.catalog()),
             // The other read finds out as well that the records have expired.
             Ok(_) | Err(Error::Expired { .. }) => true,
             Err(err) => {
@@ -271,8 +271,8 @@
         match read.result {
             Ok(batch) => {
                 next = batch.next;
-                view.renew(read.as_of);
-                if events.send(Event::RequestsRead(batch, read.as_of)).is_err() {
+                view.add_read(read.as_of, next, batch.end.unwrap_or(next));
+                if events.send(Event::RequestsRead(batch, view.as_of())).is_err() {
                     return;
                 }
             }
--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -62,7 +62,7 @@
                 } else if !matches!(**node.configuration.load(), Configuration::Known(_)) {
                     store_configuration(&node, Configuration::Known(config.catalog()));
                 }
-                node.renew_configuration(as_of);
+                node.add_configuration_read(as_of, batch.next, batch.end.unwrap_or(batch.next));
                 node.operator_records_read.send_replace(batch.next);
             }
             Err(Error::Expired { .. }) if next.is_some() => next = None,
@@ -117,6 +117,7 @@
             Ok(batch) => {
                 report_log_answer(&node, true);
                 backoff = BACKOFF.0;
+                let is_cut = batch.is_cut();
                 let changed = match next {
                     None => workers.replace_all(batch.entries),
                     Some(_) => workers.apply(batch.entries),
@@ -131,6 +132,9 @@
                     node.workers.store(Arc::new(workers.all().clone()));
                     node.worker_list_changes.send_modify(|it| *it += 1);
                 }
+                if is_cut {
+                    continue;
+                }
                 node.worker_list_read_at.send_replace(sent);
                 // Read again at once when a partition is acquired: its owner waits for a
                 // recent list.
--- a/fleet/tests/test_soak/checker.rs
+++ b/fleet/tests/test_soak/checker.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Time after the acknowledgement of a cancel from which nothing of the job is started (`cancel_ms`).
-const CANCEL_TIME: Duration = Duration::from_millis(3000);
+pub(crate) const CANCEL_TIME: Duration = Duration::from_millis(3000);
 /// Time that a worker takes for a stop (`stopTimeoutMs`).
 const STOP_TIME: Duration = Duration::from_millis(200);
 /// Calm time after which nothing of a cancelled job runs.
@@ -145,6 +145,12 @@
             .collect()
     }
 
+    /// When a task of a job last began; `None` if none has.
+    pub(crate) fn last_start(&self, job: &str) -> Option<Duration> {
+        let tasks = self.tasks.iter().filter(|(task, _)| split(task).0 == job);
+        tasks.flat_map(|(_, runs)| runs).map(|it| it.started).max()
+    }
+
     /// Returns the step of a task, if a caller sent it.
     pub(crate) fn step(&self, task: &str) -> Option<&Step> {
         let (job, step, index) = split(task);
--- a/fleet/tests/test_soak/link.rs
+++ b/fleet/tests/test_soak/link.rs
@@ -33,6 +33,16 @@
     pub(crate) waiting_reads_silent_before: Option<Instant>,
     /// Connections opened before this time take no further call; one that is open is answered.
     pub(crate) no_calls_before: Option<Instant>,
+    /// Until when reads of callers' requests are not answered, and which.
+    pub(crate) unread: (Duration, Unread),
+}
+
+/// Reads that are not answered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Unread {
+    All,
+    /// Those that wait for records.
+    Waiting,
 }
 
 /// Connection of a call.
@@ -50,6 +60,7 @@
         silent_before: None,
         waiting_reads_silent_before: None,
         no_calls_before: None,
+        unread: (Duration::ZERO, Unread::All),
     };
 
     /// Whether nothing more arrives on a connection.
--- a/fleet/tests/test_soak/log.rs
+++ b/fleet/tests/test_soak/log.rs
@@ -22,8 +22,14 @@
 pub(crate) const OPERATORS: &str = "keyed.op";
 /// Topic with the records of jobs.
 pub(crate) const JOBS: &str = "keyed.jobs";
+/// Topic of callers' requests.
+pub(crate) const REQUESTS: &str = "keyed.requests";
 /// Items of one answer with the newest records; small, so that several pages are read.
 const PAGE: usize = 40;
+/// Size of a page of records unless a test sets another one, bytes (`maxKb`).
+const PAGE_BYTES: usize = 1024 * 1024;
+/// Size of what precedes the records of a page, bytes.
+const HEAD_BYTES: usize = 16;
 /// Number of appends whose repetition gets the first answer again.
 const REMEMBERED: usize = 5;
 
@@ -64,6 +70,8 @@
 pub(crate) struct Log {
     partitions: HashMap<(String, u64), Partition>,
     group: Group,
+    /// Size of a page of records, bytes; `None` for [`PAGE_BYTES`].
+    pub(crate) page_bytes: Option<usize>,
 }
 
 impl Partition {
@@ -278,6 +286,7 @@
         F: Fn(&Bytes) -> Bytes,
     {
         let from = request.number("from") as usize;
+        let page_bytes = self.page_bytes.unwrap_or(PAGE_BYTES);
         let partition = self.partition(request.text("topic"), request.number("part"));
         if from < partition.first {
             return Some(http::json(410, json!({ "firstOffset": partition.first })));
@@ -287,6 +296,10 @@
         body.put_u64(partition.records.len() as u64);
         body.put_u64(partition.first as u64);
         for (key, value) in records {
+            // A record that is larger than a page is a page by itself.
+            if HEAD_BYTES < body.len() && page_bytes < body.len() + key.len() + value.len() {
+                break;
+            }
             let value = readable(value);
             body.put_u32((1 + key.len() + value.len()) as u32);
             body.put_u8(key.len() as u8);
--- a/fleet/tests/test_soak/main.rs
+++ b/fleet/tests/test_soak/main.rs
@@ -12,9 +12,11 @@
 //! - `traffic`: callers.
 //! - `scenario`: runs in which given events happen in a given order.
 //! - `silent_connections`: promises while open connections to the log are silent.
+//! - `cancelled_jobs`: starts of cancelled jobs while what lies between a cancel and a start is late.
 //! - `outdated_views`: promises after instances were paused, cut off, killed or replaced.
 //! - `faults`: the faults.
 
+mod cancelled_jobs;
 mod checker;
 mod faults;
 mod http;
--- a/fleet/tests/test_soak/scenario.rs
+++ b/fleet/tests/test_soak/scenario.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::checker::{Job, Step};
-use crate::link::Mode;
+use crate::link::{Mode, Unread};
 use crate::process::Instance;
 use crate::site::{Faults, INSTANCES, LOG, POOLS, Site, WORKERS};
 use crate::traffic::{self, Callers};
@@ -88,6 +88,41 @@
         (0..WORKERS).for_each(|it| self.site.silence_next_calls(instance, it));
     }
 
+    /// Leaves reads of callers' requests by an instance unanswered for a time.
+    pub(crate) fn leave_requests_unread(&self, instance: usize, unread: Unread, time: Duration) {
+        self.site.leave_requests_unread(instance, unread, time);
+    }
+
+    /// Has the log answer reads with pages of this size.
+    pub(crate) fn set_page_bytes(&self, bytes: usize) {
+        self.site.lock().log.page_bytes = Some(bytes);
+    }
+
+    /// Has all calls of an instance to workers take longer for a time.
+    pub(crate) fn slow_workers(&self, instance: usize, answer: Duration, time: Duration) {
+        let slow = Mode::Slow(answer);
+        (0..WORKERS).for_each(|it| self.site.set_link(instance, it, slow, 1.0, time));
+    }
+
+    /// Has all calls of an instance to the log take longer for a time.
+    pub(crate) fn slow_log(&self, instance: usize, answer: Duration, time: Duration) {
+        self.site.set_link(instance, LOG, Mode::Slow(answer), 1.0, time);
+    }
+
+    /// Checks that no task of a cancelled job began later than `time` after the acknowledgement of the
+    /// cancel, however disturbed its owner was.
+    pub(crate) fn check_starts(&self, id: &str, time: Duration) {
+        let checker = &self.site.lock().checker;
+        let cancelled_at = checker.jobs[id].cancelled_at.expect("the job was cancelled");
+        let lines: Vec<String> = self.fleet.iter().flat_map(|it| it.lines_with(id)).collect();
+        assert!(
+            checker.last_start(id).is_none_or(|it| it <= cancelled_at + time),
+            "a task began later than {time:?} after the cancel\n{}\n{}",
+            checker.history_of(id).join("\n"),
+            lines.join("\n")
+        );
+    }
+
     /// Lines of the instances' decision logs that contain both texts.
     pub(crate) fn lines_with(&self, text: &str, other: &str) -> Vec<String> {
         let lines = self.fleet.iter().flat_map(|it| it.lines_with(text));
--- a/fleet/tests/test_soak/site.rs
+++ b/fleet/tests/test_soak/site.rs
@@ -15,7 +15,7 @@
 
 use crate::checker::{CONTACT_TIME, Checker};
 use crate::http::{self, Answer, Request, Reset};
-use crate::link::{Connection, Link, Mode};
+use crate::link::{Connection, Link, Mode, Unread};
 use crate::log::{self, LIST, Log, OPERATORS};
 use crate::worker::{CPU, Origin, Worker};
 
@@ -278,6 +278,19 @@
         self.disturb(instance, Duration::ZERO);
     }
 
+    /// Leaves reads of callers' requests by an instance unanswered for a time, also those under way. The
+    /// log serves its other calls.
+    pub(crate) fn leave_requests_unread(&self, instance: usize, unread: Unread, time: Duration) {
+        let until = self.now() + time;
+        self.lock().links[instance][LOG].unread = (until, unread);
+        self.disturb(instance, time);
+    }
+
+    fn is_unread(&self, instance: usize, connection: Connection) -> bool {
+        let (until, unread) = self.lock().links[instance][LOG].unread;
+        self.now() < until && (unread == Unread::All || connection.waits_for_records)
+    }
+
     fn mode(&self, instance: usize, target: usize, connection: Connection) -> Mode {
         let (now, mut state) = (self.now(), self.lock());
         let link = state.links[instance][target];
@@ -300,6 +313,7 @@
         if no_calls_before.is_some_and(|it| connection.opened < it) {
             return pending().await;
         }
+        let reads_requests = target == LOG && request.path == "/log-read" && request.text("topic") == log::REQUESTS;
         let mode = self.mode(instance, target, connection);
         match mode {
             Mode::Cut => return pending().await,
@@ -321,6 +335,9 @@
             Mode::Reset => return Err(Reset),
             _ => {}
         }
+        if reads_requests && self.is_unread(instance, connection) {
+            return pending().await;
+        }
         // The link may have been cut while the call was carried out.
         match self.mode(instance, target, connection) {
             Mode::Cut | Mode::AnswersLost => pending().await,
--- a/lib/src/log_view.rs
+++ b/lib/src/log_view.rs
@@ -10,6 +10,9 @@
 //! A read tells what the log held when it was sent, as its answer may arrive much later. One that
 //! has waited in vain tells that nothing was added until its wait was over. The next read therefore
 //! waits the shorter, the older the view is.
+//!
+//! An answer holds a page of records at most. One that is cut at the end of a page also tells where the
+//! partition ended; the view is as current as that read once the records up to there are known.
 
 use std::time::Duration;
 
@@ -39,12 +42,27 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct View {
     as_of: Duration,
+    /// The first read whose answer was cut, until the records are known that it was cut from.
+    cut_read: Option<CutRead>,
+}
+
+/// A read whose answer did not hold all records up to the end of the partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct CutRead {
+    as_of: Duration,
+    /// Offset of the end of the partition as of that time.
+    end: u64,
 }
 
 impl View {
     /// Creates a view that holds as of a time.
     pub fn new(as_of: Duration) -> View {
-        View { as_of }
+        View { as_of, cut_read: None }
+    }
+
+    /// Monotonic time up to which all records are known.
+    pub fn as_of(&self) -> Duration {
+        self.as_of
     }
 
     /// Adds a read that tells all records up to a time.
@@ -52,6 +70,20 @@
         self.as_of = self.as_of.max(as_of);
     }
 
+    /// Adds a read after which the records before the offset `next` are known of a partition that
+    /// ended at `end` as of a time.
+    pub fn add_read(&mut self, as_of: Duration, next: u64, end: u64) {
+        if let Some(cut_read) = self.cut_read.filter(|it| it.end <= next) {
+            self.renew(cut_read.as_of);
+            self.cut_read = None;
+        }
+        if end <= next {
+            self.renew(as_of);
+        } else {
+            self.cut_read.get_or_insert(CutRead { as_of, end });
+        }
+    }
+
     /// Limits of the next read. A record is known within the promised time from its acknowledgement
     /// even if that read is never answered.
     pub fn read_limits(&self, now: Duration, promise: Duration) -> ReadLimits {
--- a/lib/tests/test_log_view.rs
+++ b/lib/tests/test_log_view.rs
@@ -38,6 +38,22 @@
     assert_eq!(view.time_left(ms(3700), ms(3000)), ms(2300), "an earlier read takes nothing away");
 }
 
+#[test]
+fn a_view_does_not_count_from_a_read_whose_answer_was_cut() {
+    // UNASKED and LOST: records behind the end of a page counted as known.
+    let mut view = View::new(ms(1000));
+    view.add_read(ms(2000), 4, 9);
+    assert_eq!(view.as_of(), ms(1000), "five records are not known");
+    view.add_read(ms(2500), 8, 12);
+    assert_eq!(view.as_of(), ms(1000), "one record is not known");
+    view.add_read(ms(3000), 10, 14);
+    assert_eq!(view.as_of(), ms(2000), "records are added faster than they are read");
+    view.add_read(ms(3500), 14, 14);
+    assert_eq!(view.as_of(), ms(3500));
+    view.add_read(ms(3000), 14, 14);
+    assert_eq!(view.as_of(), ms(3500));
+}
+
 #[test]
 fn a_follower_may_always_deny_unless_a_read_is_silent() {
     // The log answers in 4 ms, and within 0.3 s while it is 79 times as slow.
