log: an empty answer counts as a wait in vain only if nothing was added

Cause: an answer without records that arrives after the end of its wait was dated to that end, as the log had found nothing until then. An answer without *readable* records is given at once, when a record arrives, and so is that of a partition that does not exist. If it is late, or the process was paused, the time between counted as read.

Evidence: a_late_answer_that_was_given_at_once_does_not_count_as_a_wait_in_vain failed on the code before (test_log.rs:265: a read of a record without a key counted up to the end of its wait).

Why this works: the answer has to say that the partition ends where the read began; one of a missing partition has no end.

Result: the test passes; a read that has waited in vain still counts up to the end of its wait, as the third case of the test shows.

--- a/fleet/src/log.rs
+++ b/fleet/src/log.rs
@@ -69,9 +69,10 @@
 impl Followed {
     /// Creates the outcome of a read that was answered or has failed, from its send time and the
     /// time for which the log was to wait.
-    fn new(result: Result<ReadResult, Error>, sent: Duration, wait: Duration) -> Followed {
-        let is_empty = result.as_ref().is_ok_and(|it| it.entries.is_empty());
-        let has_waited = is_empty && sent + wait <= clock::now().mono;
+    fn new(result: Result<ReadResult, Error>, from: u64, sent: Duration, wait: Duration) -> Followed {
+        // A partition that does not exist is answered without a wait.
+        let has_no_records = |it: &ReadResult| it.next == from && it.end.is_some_and(|end| end <= from);
+        let has_waited = result.as_ref().is_ok_and(has_no_records) && sent + wait <= clock::now().mono;
         Followed {
             result,
             as_of: if has_waited { sent + wait } else { sent },
@@ -136,17 +137,17 @@
         let timeout = limits.overdue_after + CHECK_TIMEOUT;
         let mut waiting = std::pin::pin!(self.client.read(part, from, limits.wait, timeout));
         if let Some(result) = overdue::answer_within(&mut waiting, limits.overdue_after).await {
-            return Followed::new(result, sent, limits.wait);
+            return Followed::new(result, from, sent, limits.wait);
         }
         let checked = clock::now().mono;
         tokio::select! {
-            result = &mut waiting => Followed::new(result, sent, limits.wait),
+            result = &mut waiting => Followed::new(result, from, sent, limits.wait),
             result = self.check(part, from) => {
                 // Other connections may be as silent as the one of the first read.
                 self.client.close_idle_since(sent_at);
                 Followed {
                     silent_for: Some(clock::now().mono.saturating_sub(sent)),
-                    ..Followed::new(result, checked, Duration::ZERO)
+                    ..Followed::new(result, from, checked, Duration::ZERO)
                 }
             }
         }
--- a/fleet/tests/test_log.rs
+++ b/fleet/tests/test_log.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use oriole_daemon::clock;
 use oriole_fleet::log::Log;
 use oriole_platform::log::{AppendPosition, Entry, Error, JOBS, LogClient, OPERATORS, Partition, REQUESTS};
 use oriolewall::log_view::ReadLimits;
@@ -97,6 +98,25 @@
     (addr, reads)
 }
 
+/// Starts a log that gives each read the same answer, after a time. Returns its address.
+async fn start_late_log(answer: Duration, text: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let text = text.clone();
+            tokio::spawn(async move {
+                let mut buffer = [0; 4096];
+                while let Ok(1..) = stream.read(&mut buffer).await {
+                    tokio::time::sleep(answer).await;
+                    let _ = stream.write_all(&text).await;
+                }
+            });
+        }
+    });
+    addr
+}
+
 async fn append_request(log: &Log) -> Result<(), Error> {
     let part = Partition {
         topic: REQUESTS,
@@ -229,6 +249,23 @@
     assert_eq!(reads.load(Ordering::SeqCst), 1);
 }
 
+#[tokio::test]
+async fn a_late_answer_that_was_given_at_once_does_not_count_as_a_wait_in_vain() {
+    // LOST and UNASKED: records of the time between were taken for known. One answer has a record
+    // without a key, and one is of a partition that does not exist yet.
+    let end = |it: u64| [it.to_be_bytes(), 0_u64.to_be_bytes()].concat();
+    let unreadable = [b"HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n".to_vec(), end(8), vec![0; 4]].concat();
+    let missing = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_vec();
+    let empty = [b"HTTP/1.1 200 OK\r\ncontent-length: 16\r\n\r\n".to_vec(), end(7)].concat();
+    for (text, has_waited) in [(unreadable, false), (missing, false), (empty, true)] {
+        let log = log(start_late_log(LIMITS.wait + Duration::from_millis(50), text).await);
+        let sent = clock::monotonic();
+        let read = log.follow(PART, 7, LIMITS).await;
+        assert!(read.result.unwrap().entries.is_empty());
+        assert_eq!(sent + LIMITS.wait <= read.as_of, has_waited);
+    }
+}
+
 #[tokio::test]
 async fn an_instance_that_owns_all_partitions_waits_for_all_of_them() {
     // LOST (review/12): 17 reads shared 8 connections, and some were sent seconds late.
