owner: withdraw orders that wait to be sent when what they rest on ends

And a start that waited was still sent up to 0.9 s after its owner had read that the job is cancelled.

Cause: an order was checked against its time limit only when its connection was free. Nothing told the caller of the worker that the owner had given the run up, ended the contact or read the cancel since the order was decided.

Why this works: a run keeps a guard of its start order until it is stopped, released or its contact ends, and a contact keeps one of its status requests, which acknowledge ends and renew leases. The connection pool asks the order's watch at the last moment. A start that was not sent is known not to have taken place, so its task waits again at once.

--- a/daemon/src/client.rs
+++ b/daemon/src/client.rs
@@ -12,6 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use oriolewall::platform::Error;
+use oriolewall::withdrawal;
 
 use crate::clock;
 
@@ -53,6 +54,8 @@
     pub timeout: Duration,
     /// Reading of [`clock::monotonic`] after which the request must not be sent.
     pub send_by: Duration,
+    /// Tells whether the request was withdrawn, after which it must not be sent; `None` if it cannot be.
+    pub withdrawal: Option<withdrawal::Watch>,
     /// Connection on which a [`ConnectionPool`](crate::connection_pool::ConnectionPool) sends it.
     pub connection: Connection,
 }
@@ -84,6 +87,7 @@
             body: Bytes::new(),
             timeout,
             send_by: clock::monotonic() + timeout,
+            withdrawal: None,
             connection: Connection::Any,
         }
     }
@@ -103,6 +107,12 @@
         self
     }
 
+    /// Sets what tells whether the request was withdrawn.
+    pub fn unless_withdrawn(mut self, withdrawal: withdrawal::Watch) -> Call {
+        self.withdrawal = Some(withdrawal);
+        self
+    }
+
     /// Sets on which connection the call is sent.
     pub fn on(mut self, connection: Connection) -> Call {
         self.connection = connection;
@@ -111,7 +121,7 @@
 
     /// Whether the request may be sent now.
     pub(crate) fn may_be_sent(&self) -> bool {
-        clock::monotonic() < self.send_by
+        clock::monotonic() < self.send_by && !self.withdrawal.as_ref().is_some_and(withdrawal::Watch::is_withdrawn)
     }
 
     /// Adds a request header.
--- a/daemon/src/connection_pool.rs
+++ b/daemon/src/connection_pool.rs
@@ -156,7 +156,7 @@
 async fn send(sender: &mut SendRequest<Full<Bytes>>, addr: SocketAddr, call: Call) -> Result<Response, Error> {
     // If the connection closes before it is ready, nothing of the request has been sent.
     sender.ready().await.map_err(|_| Error::Undelivered)?;
-    // The process may have been paused since the call was made.
+    // The process may have been paused, or the call withdrawn, since it was made.
     if !call.may_be_sent() {
         return Err(Error::Undelivered);
     }
--- a/daemon/tests/test_connection_pool.rs
+++ b/daemon/tests/test_connection_pool.rs
@@ -10,6 +10,7 @@
 use oriole_daemon::clock;
 use oriole_daemon::connection_pool::ConnectionPool;
 use oriolewall::platform::Error;
+use oriolewall::withdrawal::Guard;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -117,3 +118,27 @@
     assert!(pool.call(call(addr, "/")).await.is_ok());
     assert_eq!(opened.load(Ordering::SeqCst), 2, "the third call needs no new connection");
 }
+
+#[tokio::test]
+async fn a_call_that_is_withdrawn_while_it_waits_for_a_connection_is_not_sent() {
+    // TWICE: a start order was sent after the contact with its worker had ended, and the next
+    // incarnation of the worker carried it out.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (paths, mut received) = mpsc::unbounded_channel();
+    tokio::spawn(serve(listener, Duration::from_millis(200), paths));
+    let pool = ConnectionPool::new(addr, 1);
+    let (kept, ended) = (Guard::default(), Guard::default());
+    let withdrawn = call(addr, "/withdrawn").unless_withdrawn(ended.watch());
+    let valid = call(addr, "/valid").unless_withdrawn(kept.watch());
+    let end = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        drop(ended);
+    };
+    let (first, withdrawn, valid, ()) = tokio::join!(pool.call(call(addr, "/first")), pool.call(withdrawn), pool.call(valid), end);
+    assert!(first.is_ok());
+    assert_eq!(withdrawn.err(), Some(Error::Undelivered));
+    assert!(valid.is_ok());
+    assert_eq!(received.recv().await.unwrap(), "/first");
+    assert_eq!(received.recv().await.unwrap(), "/valid");
+}
--- a/fleet/src/actions.rs
+++ b/fleet/src/actions.rs
@@ -73,6 +73,7 @@
                 lease_until_ms,
                 wait,
                 overdue_after,
+                withdrawal,
             } => {
                 let events = self.events.clone();
                 let request = StatusRequest {
@@ -81,6 +82,7 @@
                     lease_until_ms,
                     wait,
                     connection: Connection::Any,
+                    withdrawal,
                 };
                 let worker = self.workers.get(&id).cloned();
                 self.background_tasks.spawn(async move {
--- a/fleet/src/worker_status.rs
+++ b/fleet/src/worker_status.rs
@@ -28,7 +28,7 @@
         status,
         silent_since: None,
     };
-    let mut first = std::pin::pin!(worker.fetch_status(request));
+    let mut first = std::pin::pin!(worker.fetch_status(request.clone()));
     let Some(overdue_after) = overdue_after else {
         return answered(first.await);
     };
--- a/fleet/tests/test_soak/cancelled_jobs.rs
+++ b/fleet/tests/test_soak/cancelled_jobs.rs
@@ -109,3 +109,33 @@
         scenario.check_starts(job, CANCEL_TIME);
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_start_that_waits_for_a_connection_is_not_sent_once_its_job_is_cancelled() {
+    // An order that was decided before the cancel was sent up to 0.9 s after it, under a contact that
+    // had ended. Workers refused it, unless they had restarted.
+    let scenario = Scenario::start("cancelled-while-waiting").await;
+    let owner = scenario.settled_owner_of(0).await;
+    let other = scenario.instances().find(|it| *it != owner).expect("there are several");
+    let jobs = |first: u64| (first..first + JOBS).map(|it| format!("{it:016x}"));
+    // Several orders to each worker at the same time, so that all connections are opened.
+    scenario.slow_workers(owner, Duration::from_millis(40), TASK_TIME * 2);
+    for job in jobs(0xcd00) {
+        assert_eq!(scenario.submit_tasks(other, 1, &job, 100, TASK_TIME).await, 200);
+    }
+    tokio::time::sleep(TASK_TIME * 4).await;
+    scenario.silence_workers(owner);
+    for job in jobs(0xce00) {
+        assert_eq!(scenario.submit_tasks(other, 1, &job, 100, TASK_TIME).await, 200);
+    }
+    for job in jobs(0xce00) {
+        assert_eq!(scenario.cancel(other, 1, &job).await, 200);
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for job in jobs(0xce00) {
+        scenario.check_starts(&job, Duration::from_millis(150));
+    }
+    assert!(!scenario.lines_with("order_refused", "\"withdrawn\"").is_empty());
+    let sent = scenario.lines_with("order_refused", "\"fenced\"");
+    assert!(sent.is_empty(), "{sent:#?}");
+}
--- a/lib/src/commit.rs
+++ b/lib/src/commit.rs
@@ -15,6 +15,7 @@
 use crate::order::{Action, StartOrder};
 use crate::scheduler::{MIN_STATUS_INTERVAL, START_EXPIRY, Scheduler, TrackedJob};
 use crate::silent_worker::SILENT_WORKER_PREFIX;
+use crate::withdrawal;
 use crate::worker::{RunKey, RunPhase, Worker};
 
 /// Minimum time between two commits; changes made in between share one.
@@ -116,6 +117,9 @@
         run.phase = RunPhase::Sent;
         run.order_expires_ms = expires_ms;
         run.contact = contact;
+        let start_guard = withdrawal::Guard::default();
+        let withdrawal = start_guard.watch();
+        run.start_guard = Some(start_guard);
         self.start_window.order(now.mono, &key);
         self.log_decision(Decision::Ordered {
             job: key.task.job.clone(),
@@ -135,6 +139,7 @@
             send_by: now.mono + valid_for,
             contact,
             ticket,
+            withdrawal,
             key,
         };
         self.actions.push(Action::Start(start));
--- a/lib/src/eviction.rs
+++ b/lib/src/eviction.rs
@@ -82,7 +82,7 @@
     fn interrupt(&mut self, id: &InstanceId, key: &RunKey) {
         let worker = self.workers.get_mut(id).expect("the caller checked that the worker is known");
         if let Some(run) = worker.runs.get_mut(key) {
-            run.phase = RunPhase::Stopping;
+            run.stop();
         }
         self.log_decision(Decision::Interrupted {
             job: key.task.job.clone(),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -43,6 +43,7 @@
 //! - [`run`]: runs that may be taking place on a worker.
 //! - [`scheduler`]: state machine of the owner of a pool.
 //! - [`order`]: actions of the owner of a pool, and what workers answer to its orders.
+//! - [`withdrawal`]: withdrawal of orders that wait to be sent.
 //! - [`decision`]: decisions of the owner of a pool, written to the decision log.
 //! - [`query`]: read-only queries on an owner's state.
 //! - [`quota`]: division of teams' caps among owners.
@@ -178,6 +179,7 @@
 mod waiting;
 pub mod wave;
 pub mod wire;
+pub mod withdrawal;
 pub mod worker;
 mod worker_events;
 mod worker_search;
--- a/lib/src/order.rs
+++ b/lib/src/order.rs
@@ -10,6 +10,7 @@
 use crate::decision::Decision;
 use crate::id::{InstanceId, PoolId};
 use crate::job_record::{CancelKey, JobKey, Request};
+use crate::withdrawal;
 use crate::worker::RunKey;
 
 /// Contact with a worker, under which its calls are made.
@@ -151,6 +152,8 @@
     Malformed,
     /// No connection to the worker could be opened.
     Unreachable,
+    /// The order was withdrawn before it was sent.
+    Withdrawn,
 }
 
 /// An order to start a run.
@@ -173,6 +176,8 @@
     pub contact: ContactId,
     /// Ticket from the advice service; `None` if the queue does not require advice.
     pub ticket: Option<Arc<str>>,
+    /// Tells whether the order was withdrawn and must not be sent.
+    pub withdrawal: withdrawal::Watch,
 }
 
 /// Something that the caller of [`Scheduler::poll`](crate::scheduler::Scheduler::poll) carries out.
@@ -255,6 +260,8 @@
         /// Time after which the request is sent again on a new connection if there is no answer;
         /// `None` if it renews no leases, so that nothing hangs on it.
         overdue_after: Option<Duration>,
+        /// Tells whether the request was withdrawn and must not be sent.
+        withdrawal: withdrawal::Watch,
     },
     /// Write a decision to the decision log.
     LogDecision(Decision),
--- a/lib/src/polling.rs
+++ b/lib/src/polling.rs
@@ -132,6 +132,7 @@
                 lease_until_ms,
                 wait,
                 overdue_after: lease_until_ms.map(|_| wait + STATUS_OVERDUE_AFTER),
+                withdrawal: worker.contact_guard.watch(),
             });
         }
     }
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -59,7 +59,7 @@
             for (key, run) in worker.runs.iter_mut().filter(|(key, _)| key.task.job == *id) {
                 match run.phase {
                     RunPhase::Intended => unsent.push((worker.listed.id.clone(), RunKey::clone(key))),
-                    _ => run.phase = RunPhase::Stopping,
+                    _ => run.stop(),
                 }
             }
         }
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -8,6 +8,7 @@
 use crate::order::ContactId;
 use crate::resources::Resources;
 use crate::scheduler::START_EXPIRY;
+use crate::withdrawal;
 
 /// Time without progress after which a run counts as stalled.
 /// Twice the interval between two status requests to a busy worker.
@@ -86,6 +87,8 @@
     pub speed_percent: Option<u32>,
     /// When a stop was last ordered; `None` if it never was.
     pub stop_sent_at: Option<Duration>,
+    /// Keeps the start order valid; `None` once it must not be sent any more.
+    pub start_guard: Option<withdrawal::Guard>,
 }
 
 impl Run {
@@ -108,9 +111,16 @@
             progress_changed_at: now,
             speed_percent: Some(100),
             stop_sent_at: None,
+            start_guard: None,
         }
     }
 
+    /// Marks the run to be stopped. If its start order was not sent yet, it never will be.
+    pub fn stop(&mut self) {
+        self.phase = RunPhase::Stopping;
+        self.start_guard = None;
+    }
+
     /// Whether the start order was sent, by this owner or an earlier one, and no status has listed
     /// the run.
     pub fn may_start(&self) -> bool {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -322,7 +322,7 @@
         for worker in self.workers.values_mut() {
             for (key, run) in &mut worker.runs {
                 if key.task.job == *id && run.phase != RunPhase::Intended {
-                    run.phase = RunPhase::Stopping;
+                    run.stop();
                 }
             }
         }
--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -18,6 +18,7 @@
 use crate::resources::Resources;
 use crate::run::STALL_TIMEOUT;
 pub use crate::run::{ProgressReport, Run, RunKey, RunPhase};
+use crate::withdrawal;
 use crate::worker_speed::{Progress, Speed};
 
 /// Rate of the slowest worker clock relative to true time; the platform guarantees clocks at
@@ -74,6 +75,8 @@
     pub started_ms: u64,
     /// Contact under which the worker is called.
     pub contact: ContactId,
+    /// Keeps the status requests of that contact valid.
+    pub contact_guard: withdrawal::Guard,
     /// Contact that was begun when a restart was reported last; unnumbered if none was. Only answers
     /// under it or a later one certainly come from that incarnation or a later one.
     pub incarnation_contact: ContactId,
@@ -138,6 +141,7 @@
             is_listed: true,
             started_ms: 0,
             contact,
+            contact_guard: withdrawal::Guard::default(),
             incarnation_contact: ContactId::Unnumbered,
             is_observed: false,
             first_observed_ms: 0,
@@ -199,11 +203,14 @@
 
     /// Calls the worker under a new contact from now on. Until it answers under that contact,
     /// calls of earlier ones may still be carried out, so the next status request does not wait
-    /// for the answer to an earlier one.
+    /// for the answer to an earlier one. Calls of earlier contacts that wait to be sent are
+    /// withdrawn: the next incarnation, which knows no later contact, would carry them out.
     pub fn begin_contact(&mut self, contact: ContactId) {
         self.status_requested &= contact == self.contact;
         self.contact = contact;
         self.is_observed = false;
+        self.contact_guard = withdrawal::Guard::default();
+        self.runs.values_mut().for_each(|it| it.start_guard = None);
     }
 
     /// Whether a status comes from another incarnation than the last one.
--- a/lib/src/worker_events.rs
+++ b/lib/src/worker_events.rs
@@ -252,7 +252,7 @@
                 }
             }
             Refusal::Ticket => self.drop_ticket(&key.task, id),
-            Refusal::Old | Refusal::Late | Refusal::Malformed => {}
+            Refusal::Old | Refusal::Late | Refusal::Malformed | Refusal::Withdrawn => {}
         }
         let is_known = self.workers.get(id).and_then(|it| it.runs.get(key)).is_some();
         if is_known {
@@ -294,8 +294,10 @@
                 run.progress_percent = active.percent;
                 run.progress_changed_at = now.mono;
             }
-            if run.phase != RunPhase::Stopping {
-                run.phase = if is_current { RunPhase::Active } else { RunPhase::Stopping };
+            match is_current {
+                true if run.phase != RunPhase::Stopping => run.phase = RunPhase::Active,
+                true => {}
+                false => run.stop(),
             }
         } else {
             // Started by an earlier owner, or by a delayed order; it uses resources until it is stopped.
@@ -358,7 +360,7 @@
                 continue;
             };
             if run.is_stalled(now.mono) && !step.gang && !step.fill && !step.lasting {
-                run.phase = RunPhase::Stopping;
+                run.stop();
                 stalled += 1;
             }
         }
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -17,6 +17,7 @@
 use oriolewall::silent_worker::SILENT_WORKER_PREFIX;
 use oriolewall::spec::{JobSpec, Step};
 use oriolewall::time_limits::TimeLimits;
+use oriolewall::withdrawal;
 use oriolewall::worker::{ListedWorker, RunKey};
 
 /// Length of the leases that the owner requests.
@@ -47,6 +48,8 @@
     pub status_requests: Vec<(InstanceId, u64, Option<u64>)>,
     /// Contact of the latest status request to each worker.
     pub contacts: HashMap<InstanceId, ContactId>,
+    /// Watch of the latest status request to each worker.
+    pub status_watches: HashMap<InstanceId, withdrawal::Watch>,
     /// Jobs whose submissions were removed from the log.
     pub removed_requests: Vec<JobKey>,
     /// Cancellations that were removed from the log.
@@ -185,6 +188,7 @@
             stops: Vec::new(),
             status_requests: Vec::new(),
             contacts: HashMap::new(),
+            status_watches: HashMap::new(),
             removed_requests: Vec::new(),
             removed_cancels: Vec::new(),
             handed_on: Vec::new(),
@@ -314,9 +318,11 @@
                 contact,
                 ack_cursor,
                 lease_until_ms,
+                withdrawal,
                 ..
             } => {
                 self.contacts.insert(worker.clone(), contact);
+                self.status_watches.insert(worker.clone(), withdrawal);
                 self.status_requests.push((worker, ack_cursor, lease_until_ms));
             }
             Action::RemoveRequests { submissions, cancels } => {
