owner: log by which view of callers' requests a task is started

Nothing said that an owner holds all starts as its view has expired.

Change: `ordered` has the age of the view and the time for which the order is valid.

Result: an_owner_logs_when_it_holds_starts_and_how_old_the_view_of_an_order_is.

--- a/fleet/src/actions.rs
+++ b/fleet/src/actions.rs
@@ -133,6 +133,10 @@
             Decision::Admitted { .. } => "admitted",
             Decision::Placed { .. } => "placed",
             Decision::Ordered { .. } => "ordered",
+            Decision::StartsHeld { held, .. } => {
+                self.node.metrics.starts_held.inc_by(u64::from(*held));
+                "starts_held"
+            }
             Decision::Unexpected { .. } => {
                 self.node.metrics.unexpected_runs.inc();
                 "unexpected_run"
--- a/fleet/src/metrics.rs
+++ b/fleet/src/metrics.rs
@@ -39,6 +39,8 @@
     /// Reads that waited for records and whose connection fell silent, by what was read and whether
     /// another read was answered.
     pub(crate) silent_reads: IntCounterVec,
+    /// Times that an owner held all starts, as a cancel could be unknown.
+    pub(crate) starts_held: IntCounter,
     /// Time of an owner's takeover, from before it sets the epoch until its scheduler is
     /// restored.
     pub(crate) takeover_seconds: Histogram,
@@ -135,6 +137,10 @@
                 "Reads that waited for records without an answer",
                 &["call", "outcome"],
             ),
+            starts_held: counter(
+                "oriole_starts_held_total",
+                "Times an owner held all starts as a cancel could be unknown",
+            ),
             takeover_seconds: histogram("oriole_takeover_seconds", "Time of a takeover"),
             orders: counter_vec("oriole_orders_total", "Orders to workers", &["order", "answer"]),
             inquiries: counter_vec(
--- a/lib/src/commit.rs
+++ b/lib/src/commit.rs
@@ -108,7 +108,8 @@
             self.requeue_task(&id, &key, "not_sent");
             return;
         };
-        let confirmed_ago_ms = now.mono.saturating_sub(self.confirmed_at).as_millis() as u64;
+        let age_ms = |at: Duration| now.mono.saturating_sub(at).as_millis() as u64;
+        let (confirmed_ago_ms, requests_read_ago_ms) = (age_ms(self.confirmed_at), age_ms(self.requests.as_of()));
         let worker = self.workers.get_mut(&id).expect("looked up above");
         let (contact, worker_started_ms) = (worker.contact, worker.started_ms);
         worker.extend_leases(expires_ms);
@@ -128,6 +129,8 @@
             worker: id.clone(),
             worker_started_ms,
             confirmed_ago_ms,
+            requests_read_ago_ms,
+            valid_ms: valid_for.as_millis() as u64,
         });
         let record = &self.jobs[&key.task.job].record;
         let position = record.position(&key.task).expect("a current run has a task");
--- a/lib/src/decision.rs
+++ b/lib/src/decision.rs
@@ -69,6 +69,20 @@
         worker_started_ms: u64,
         /// Time since the latest call that confirmed the ownership was sent, milliseconds.
         confirmed_ago_ms: u64,
+        /// Time up to which callers' requests were known, milliseconds before the order.
+        requests_read_ago_ms: u64,
+        /// Time for which the order may be sent and carried out, milliseconds.
+        valid_ms: u64,
+    },
+    /// No task is started any more, as a cancel may be unknown that has to be in effect, or tasks are
+    /// started again.
+    StartsHeld {
+        /// Whether starts are held.
+        held: bool,
+        /// Time up to which callers' requests are known, milliseconds ago.
+        requests_read_ago_ms: u64,
+        /// Number of open jobs.
+        open_jobs: usize,
     },
     /// A worker lists a run that this owner did not expect there.
     Unexpected {
--- a/lib/src/polling.rs
+++ b/lib/src/polling.rs
@@ -33,7 +33,7 @@
         self.expire_leases(now);
         // Placements take effect with the next commit, so making them earlier gains nothing. While
         // cancels may be unknown none would be started, so no task is moved away either.
-        if self.can_commit(now) && !self.cancels_known_for(now).is_zero() {
+        if self.can_commit(now) && !self.holds_starts(now) {
             self.candidates = Candidates::collect(now.mono, self.workers.values());
             self.evict(now);
             self.place_waiting_tasks(now);
--- a/lib/src/request_view.rs
+++ b/lib/src/request_view.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::Now;
+use crate::decision::Decision;
 use crate::log_view::View;
 use crate::scheduler::Scheduler;
 
@@ -26,4 +27,20 @@
     pub(crate) fn cancels_known_for(&self, now: Now) -> Duration {
         self.requests.time_left(now.mono, self.cancel_time)
     }
+
+    /// Whether no task may be started, as a cancel may be unknown that has to be in effect. Logs when
+    /// that begins and ends while there are open jobs.
+    pub(crate) fn holds_starts(&mut self, now: Now) -> bool {
+        let held = self.cancels_known_for(now).is_zero();
+        let open_jobs = self.open_jobs.len();
+        if held != self.starts_are_held && (!held || open_jobs != 0) {
+            self.starts_are_held = held;
+            self.log_decision(Decision::StartsHeld {
+                held,
+                requests_read_ago_ms: now.mono.saturating_sub(self.requests.as_of()).as_millis() as u64,
+                open_jobs,
+            });
+        }
+        held
+    }
 }
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -90,6 +90,8 @@
     pub(crate) requests: View,
     /// Time from the acknowledgement of a cancel after which no task of its job may start.
     pub(crate) cancel_time: Duration,
+    /// Whether starts are held as a cancel may be unknown.
+    pub(crate) starts_are_held: bool,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) jobs: HashMap<JobKey, TrackedJob>,
     pub(crate) open_jobs: BTreeSet<JobKey>,
@@ -174,6 +176,7 @@
             confirmed_at,
             requests: View::new(confirmed_at),
             cancel_time: Duration::MAX,
+            starts_are_held: false,
             catalog: Arc::default(),
             jobs: HashMap::new(),
             open_jobs: BTreeSet::new(),
--- a/lib/tests/test_cancel.rs
+++ b/lib/tests/test_cancel.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use oriolewall::decision::Decision;
 use oriolewall::job_record::{self, JobKey, Request};
 use oriolewall::order::RunOutcome;
 use oriolewall::query::JobStatus;
@@ -212,3 +213,29 @@
     let view_ends_ms = 500 + 3000 * 98 / 100;
     assert!(fixture.starts[0].expires_ms <= view_ends_ms, "{}", fixture.starts[0].expires_ms);
 }
+
+#[test]
+fn an_owner_logs_when_it_holds_starts_and_how_old_the_view_of_an_order_is() {
+    let mut fixture = OwnerFixture::with_observed_workers(vec![worker("w1")]);
+    fixture.owner.set_cancel_time(Duration::from_millis(3000));
+    fixture.owner.requests_read(fixture.now.mono);
+    fixture.advance_ms(2000);
+    fixture.add_request("job", submit("", vec![step(1, 1000)]));
+    fixture.advance_ms(2000);
+    fixture.owner.requests_read(fixture.now.mono);
+    fixture.advance_ms(100);
+    let ages = fixture.decisions.iter().filter_map(|it| match it {
+        Decision::Ordered {
+            requests_read_ago_ms,
+            valid_ms,
+            ..
+        } => Some((*requests_read_ago_ms, *valid_ms)),
+        _ => None,
+    });
+    assert_eq!(ages.collect::<Vec<_>>(), [(2010, 990)]);
+    let held = fixture.decisions.iter().filter_map(|it| match it {
+        Decision::StartsHeld { held, open_jobs, .. } => Some((*held, *open_jobs)),
+        _ => None,
+    });
+    assert_eq!(held.collect::<Vec<_>>(), [(true, 1), (false, 1)]);
+}
--- a/testutils/src/owner.rs
+++ b/testutils/src/owner.rs
@@ -9,6 +9,7 @@
 use oriolewall::catalog::{Catalog, Pool, Queue};
 use oriolewall::clock::Now;
 use oriolewall::commit_size::{CommitLimits, record_size};
+use oriolewall::decision::Decision;
 use oriolewall::id::{InstanceId, PoolId};
 use oriolewall::job_record::{CancelKey, JobKey, JobRecord, Request, Submission, TaskKey};
 use oriolewall::order::{Action, ActiveRun, ContactId, OrderOutcome, RunEnd, RunOutcome, StartOrder, TokenForm, WorkerStatus};
@@ -62,6 +63,8 @@
     pub speed_orders: Vec<(RunKey, u32)>,
     /// Requests for advice with their candidate workers.
     pub advice_requests: Vec<(StepKey, Vec<InstanceId>)>,
+    /// Decisions that the owner logged.
+    pub decisions: Vec<Decision>,
     /// Bytes of each commit.
     pub commit_sizes: Vec<usize>,
     /// Limits of the log that each owner gets.
@@ -195,6 +198,7 @@
             questions: Vec::new(),
             speed_orders: Vec::new(),
             advice_requests: Vec::new(),
+            decisions: Vec::new(),
             commits: 0,
             commit_sizes: Vec::new(),
             commit_limits: CommitLimits::default(),
@@ -333,7 +337,7 @@
             Action::Inquire { pool, version, jobs } => self.questions.push((pool, version, jobs)),
             Action::SetSpeed { key, percent, .. } => self.speed_orders.push((key, percent)),
             Action::RequestAdvice { step, workers } => self.advice_requests.push((step, workers)),
-            Action::LogDecision(_) => {}
+            Action::LogDecision(decision) => self.decisions.push(decision),
         }
     }
 
