--- a/fleet/tests/test_soak/link.rs
+++ b/fleet/tests/test_soak/link.rs
@@ -68,4 +68,10 @@
         let reads = self.waiting_reads_silent_before.filter(|_| connection.waits_for_records);
         self.silent_before.max(reads).is_some_and(|it| connection.opened < it)
     }
+
+    /// Whether reads of callers' requests on a connection are not answered now.
+    pub(crate) fn leaves_unread(&self, now: Duration, connection: Connection) -> bool {
+        let (until, unread) = self.unread;
+        now < until && (unread == Unread::All || connection.waits_for_records)
+    }
 }
--- a/fleet/tests/test_soak/log.rs
+++ b/fleet/tests/test_soak/log.rs
@@ -28,6 +28,8 @@
 const PAGE: usize = 40;
 /// Size of a page of records unless a test sets another one, bytes (`maxKb`).
 const PAGE_BYTES: usize = 1024 * 1024;
+/// The same in a run with silent connections: a page of a few jobs.
+pub(crate) const SMALL_PAGE_BYTES: usize = 2048;
 /// Size of what precedes the records of a page, bytes.
 const HEAD_BYTES: usize = 16;
 /// Number of appends whose repetition gets the first answer again.
@@ -213,6 +215,14 @@
 }
 
 impl Log {
+    /// Creates a log with pages of this size, bytes; `None` for [`PAGE_BYTES`].
+    pub(crate) fn with_page(page_bytes: Option<usize>) -> Log {
+        Log {
+            page_bytes,
+            ..Log::default()
+        }
+    }
+
     /// Whether the group has this number of members and every partition its holder for now.
     pub(crate) fn is_settled(&self, members: usize) -> bool {
         let is_settled = |it: &Assignment| it.holder.is_some() && it.holder == it.target;
--- a/fleet/tests/test_soak/site.rs
+++ b/fleet/tests/test_soak/site.rs
@@ -97,7 +97,7 @@
         let (pauses, requested) = tokio::sync::mpsc::unbounded_channel();
         let workers = (0..WORKERS).map(|it| Worker::new(format!("w-{it}"), POOLS[it % POOLS.len()]));
         let state = State {
-            log: Log::default(),
+            log: Log::with_page((faults == Faults::Silent).then_some(log::SMALL_PAGE_BYTES)),
             workers: workers.collect(),
             checker: Checker::default(),
             links: vec![[Link::OPEN; WORKERS + 1]; INSTANCES],
@@ -286,11 +286,6 @@
         self.disturb(instance, time);
     }
 
-    fn is_unread(&self, instance: usize, connection: Connection) -> bool {
-        let (until, unread) = self.lock().links[instance][LOG].unread;
-        self.now() < until && (unread == Unread::All || connection.waits_for_records)
-    }
-
     fn mode(&self, instance: usize, target: usize, connection: Connection) -> Mode {
         let (now, mut state) = (self.now(), self.lock());
         let link = state.links[instance][target];
@@ -313,7 +308,7 @@
         if no_calls_before.is_some_and(|it| connection.opened < it) {
             return pending().await;
         }
-        let reads_requests = target == LOG && request.path == "/log-read" && request.text("topic") == log::REQUESTS;
+        let reads_requests = request.path == "/log-read" && request.text("topic") == log::REQUESTS;
         let mode = self.mode(instance, target, connection);
         match mode {
             Mode::Cut => return pending().await,
@@ -335,7 +330,7 @@
             Mode::Reset => return Err(Reset),
             _ => {}
         }
-        if reads_requests && self.is_unread(instance, connection) {
+        if reads_requests && self.lock().links[instance][LOG].leaves_unread(self.now(), connection) {
             return pending().await;
         }
         // The link may have been cut while the call was carried out.
