tests: cut off an instance that does not own the pool that is asked

Trace, from the decision logs of that run: entry-0 won all four partitions at 515.743, as the first member, and was cut off from the log at 515.75, before the group had settled. Its membership expired 2 s later; the others won its partitions at 517.752 to 517.770. The call at entry-1, at 517.774, still went to entry-0, and was refused after 0.7 s (owner_silent). That is a pool which changes hands, not a configuration that is not applied, and nothing that the test is about.

The test now waits until the group has settled, and cuts off an instance that does not own the pool. All checks are the same; the one at the instance that is not cut is made at the owner.

The four assertions that went are the same four at other instances: 404 before, 503 while cut off and 200 afterwards at the instance that is cut (it was entry-0, is now one that does not own the pool), and 200 at one that is not (it was entry-1, is now the owner). The bounds are unchanged.

--- a/fleet/tests/test_soak/silent_connections.rs
+++ b/fleet/tests/test_soak/silent_connections.rs
@@ -110,14 +110,17 @@
 async fn an_instance_that_cannot_read_the_configuration_denies_no_queue() {
     // CONFIG: 404 for a queue that had been added after the instance was cut off from the log.
     let scenario = Scenario::start("cut-off").await;
-    assert_eq!(scenario.get(0, "/added/").await, 404);
-    scenario.cut_log(0, CONFIG_TIME * 3);
+    // The pool of an owner that is cut off changes hands, and its queues are refused meanwhile.
+    let owner = scenario.settled_owner_of(0).await;
+    let cut = scenario.instances().find(|it| *it != owner).expect("there are several");
+    assert_eq!(scenario.get(cut, "/added/").await, 404);
+    scenario.cut_log(cut, CONFIG_TIME * 3);
     scenario.add_queue(2, "added");
     tokio::time::sleep(CONFIG_TIME + CHECK_DELAY).await;
-    assert_eq!(scenario.get(0, "/added/").await, 503);
-    assert_eq!(scenario.get(1, "/added/").await, 200);
+    assert_eq!(scenario.get(cut, "/added/").await, 503);
+    assert_eq!(scenario.get(owner, "/added/").await, 200);
     tokio::time::sleep(CONFIG_TIME * 4).await;
-    assert_eq!(scenario.get(0, "/added/").await, 200);
+    assert_eq!(scenario.get(cut, "/added/").await, 200);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
